--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := core lovagegapd lovagegapctl lovagegap-standin
+MODULES := core entry lovagegapd lovagegapctl lovagegap-standin platform
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 PROGRAMS := ./lovagegapd ./lovagegapctl ./lovagegap-standin
 
--- /dev/null
+++ b/core/dispatch/action.go
@@ -0,0 +1,123 @@
+package dispatch
+
+import (
+	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/replica"
+)
+
+// ActionKind says what the adapter must do.
+type ActionKind uint8
+
+// Kinds of actions.
+const (
+	// Send starts an exchange. Its end is reported with Ended exactly once,
+	// also after the request has finished.
+	Send ActionKind = iota
+	// Abandon says that the answer of an exchange is no longer wanted. Its
+	// connection may be kept if the answer still comes within Linger.
+	Abandon
+	// Wake calls Tick at the instant At. It replaces the Wake before it.
+	Wake
+	// Finish hands the outcome to the caller. Only Abandon may follow it.
+	Finish
+)
+
+// Purpose says why an exchange is started.
+type Purpose uint8
+
+// Purposes.
+const (
+	First Purpose = iota
+	Hedge
+	Retry
+)
+
+// String names the purpose as it appears in logs and metrics.
+func (p Purpose) String() string { return [...]string{"first", "hedge", "retry"}[p] }
+
+// Action is an instruction of a Request to its adapter.
+type Action struct {
+	kind    ActionKind
+	attempt int
+	shard   int
+	purpose Purpose
+	replica *replica.Replica
+	at      clock.Millis
+	outcome Outcome
+}
+
+// Kind returns what to do.
+func (a Action) Kind() ActionKind { return a.kind }
+
+// Attempt numbers the exchange that is started or abandoned, from zero.
+func (a Action) Attempt() int { return a.attempt }
+
+// Shard returns the shard of a Send; 0 on a route to one replica.
+func (a Action) Shard() int { return a.shard }
+
+// Purpose returns why the exchange is started.
+func (a Action) Purpose() Purpose { return a.purpose }
+
+// Replica returns the replica of a Send.
+func (a Action) Replica() *replica.Replica { return a.replica }
+
+// At returns the instant of a Wake, or the deadline of a Send.
+func (a Action) At() clock.Millis { return a.at }
+
+// Linger returns how long the answer of an abandoned exchange may still take.
+func (a Action) Linger() clock.Millis { return a.at }
+
+// Outcome returns the outcome of a Finish.
+func (a Action) Outcome() Outcome { return a.outcome }
+
+// OutcomeKind says how a request ended.
+type OutcomeKind uint8
+
+// Kinds of outcomes.
+const (
+	// Answered passes on the answer of the exchange Attempt.
+	Answered OutcomeKind = iota
+	// Gathered merges the answers of the exchanges Parts.
+	Gathered
+	// Refused means that no replica ran the request and none will.
+	Refused
+	// Unavailable means that the request may have run and has no answer.
+	Unavailable
+	// TimedOut means that the time ran out before the answer.
+	TimedOut
+	// Gone means that the caller left; nobody waits for an answer.
+	Gone
+)
+
+var outcomeNames = [...]string{"answered", "gathered", "refused", "unavailable", "timed out", "gone"}
+
+// String names the outcome as it appears in logs and metrics.
+func (k OutcomeKind) String() string { return outcomeNames[k] }
+
+// Outcome is how a request ended.
+type Outcome struct {
+	kind       OutcomeKind
+	attempt    int
+	parts      []int
+	missing    []string
+	retryAfter clock.Millis
+	reason     string
+}
+
+// Kind returns how the request ended.
+func (o Outcome) Kind() OutcomeKind { return o.kind }
+
+// Attempt returns the exchange whose answer is passed on.
+func (o Outcome) Attempt() int { return o.attempt }
+
+// Parts returns the exchanges whose answers are merged.
+func (o Outcome) Parts() []int { return o.parts }
+
+// Missing returns the shards that are left out.
+func (o Outcome) Missing() []string { return o.missing }
+
+// RetryAfter returns when a refused request may find room.
+func (o Outcome) RetryAfter() clock.Millis { return o.retryAfter }
+
+// Reason says in a few words why the request ended so.
+func (o Outcome) Reason() string { return o.reason }
--- /dev/null
+++ b/core/replica/pick.go
@@ -0,0 +1,148 @@
+package replica
+
+import (
+	"slices"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+)
+
+const (
+	// farTrip is the time that a round trip to another data centre adds.
+	farTrip = 2 * clock.Millisecond
+	// farFactor times the expected latency is by how much a replica in another
+	// data centre must look better, since bytes between data centres cost.
+	farFactor = 0.5
+	// queueFactor is what an unanswered request adds below the slots, for the
+	// requests of other daemons that this one does not see.
+	queueFactor = 0.12
+	failFactor  = 8.0
+	shedFactor  = 3.0
+	coldFactor  = 0.6
+	spread      = 0.08 // random part of a score, so that daemons differ
+	// drainGrace is how long a draining replica may still be asked if there is
+	// no other one. It is well below the time for which it goes on serving.
+	drainGrace = clock.Second
+)
+
+// Ask describes the request for which a replica is wanted.
+type Ask struct {
+	expected clock.Millis
+	tried    []*Replica
+	careful  bool
+}
+
+// NewAsk returns an ask for a request that usually takes the expected time and
+// was sent to the tried replicas before.
+func NewAsk(expected clock.Millis, tried []*Replica) Ask {
+	return Ask{expected: max(expected, clock.Millisecond), tried: tried}
+}
+
+// Careful returns the ask for a request that cannot be repeated.
+func (a Ask) Careful() Ask {
+	a.careful = true
+	return a
+}
+
+// Pick returns the replica that is expected to answer first. It returns ErrNone
+// or ErrBusy. The caller counts the exchange with Begin.
+func (p *Pool) Pick(now clock.Millis, ask Ask) (*Replica, error) {
+	var best, last *Replica
+	var bestScore, lastScore clock.Millis
+	busy := false
+	for _, r := range p.replicas {
+		if slices.Contains(ask.tried, r) || slices.Contains(p.set.out, r.entry.DataCentre()) {
+			continue
+		}
+		if !r.hasRoom(now) {
+			busy = true
+			continue
+		}
+		score := r.score(now, ask)
+		switch {
+		case r.entry.Draining():
+			if now < r.drainSeen+drainGrace && (last == nil || score < lastScore) {
+				last, lastScore = r, score
+			}
+		case now < r.retryAt:
+			// A replica that cannot be reached is asked if all others fail too:
+			// the attempt costs little and tells when it is back.
+			score += maxBackoff + r.retryAt - now
+			if last == nil || score < lastScore {
+				last, lastScore = r, score
+			}
+		case best == nil || score < bestScore:
+			best, bestScore = r, score
+		}
+	}
+	switch {
+	case best != nil:
+		return best, nil
+	case last != nil:
+		return last, nil
+	case busy:
+		return nil, ErrBusy
+	default:
+		return nil, ErrNone
+	}
+}
+
+// Usable returns how many replicas may be asked at all.
+func (p *Pool) Usable(now clock.Millis) int {
+	n := 0
+	for _, r := range p.replicas {
+		if !r.entry.Draining() && now >= r.retryAt && !slices.Contains(p.set.out, r.entry.DataCentre()) {
+			n++
+		}
+	}
+	return n
+}
+
+// RoomIn estimates when the pool can take a request again.
+func (p *Pool) RoomIn(now, expected clock.Millis) clock.Millis {
+	room := clock.Second // the list is read again by then
+	for _, r := range p.replicas {
+		switch {
+		case r.entry.Draining() || slices.Contains(p.set.out, r.entry.DataCentre()):
+		case now < r.retryAt:
+			room = min(room, r.retryAt-now)
+		case !r.hasRoom(now), now < r.fullUntil:
+			waiting := max(1, len(r.pending)-r.entry.Slots())
+			room = min(room, expected*clock.Millis(waiting)/clock.Millis(r.entry.Slots()))
+		default:
+			room = min(room, expected)
+		}
+	}
+	return room
+}
+
+// hasRoom applies the hard limits.
+func (r *Replica) hasRoom(now clock.Millis) bool {
+	if len(r.pending) >= r.pool.Connections() {
+		return false
+	}
+	return !r.Cold(now) || r.pool.warmupRate <= 0 || now >= r.coldNext
+}
+
+// score estimates the time until the replica answers.
+func (r *Replica) score(now clock.Millis, ask Ask) clock.Millis {
+	e := ask.expected * clock.Millis(r.slowness(now))
+	queued := float64(len(r.pending))
+	slots := float64(r.entry.Slots())
+	score := e * clock.Millis(1+queueFactor*queued+max(0, queued+1-slots)/slots)
+	score += r.overdue(now, ask.expected)
+	score += ask.expected * clock.Millis(failFactor*r.failures(now))
+	if now < r.fullUntil {
+		score += ask.expected * shedFactor
+	}
+	if r.Cold(now) {
+		score += ask.expected * coldFactor
+	}
+	if r.entry.DataCentre() != r.pool.set.dataCentre {
+		score += farTrip + ask.expected*farFactor
+	}
+	if ask.careful {
+		// Evidence counts more where a wrong choice cannot be repaired.
+		score += ask.expected * clock.Millis(failFactor*r.failures(now)+max(0, r.slowness(now)-1))
+	}
+	return score * clock.Millis(1+spread*r.pool.set.random.Float64())
+}
--- /dev/null
+++ b/core/replica/pool.go
@@ -0,0 +1,157 @@
+package replica
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/quota"
+)
+
+// Set is all replicas that the platform lists. It is not safe for concurrent
+// use.
+type Set struct {
+	dataCentre string
+	random     *rand.Rand
+	pools      map[string]*Pool
+	replicas   map[string]*Replica
+	out        []string
+	daemons    int
+	budget     BudgetPolicy
+}
+
+// BudgetPolicy is the fleet-wide budget of repeated requests of each service:
+// in any span, Ratio times the requests plus Slack.
+type BudgetPolicy struct {
+	Ratio float64
+	Slack float64
+	Span  clock.Millis
+	Began clock.Millis // start of the process
+}
+
+// NewSet returns an empty set of a daemon in a data centre.
+func NewSet(dataCentre string, random *rand.Rand, budget BudgetPolicy) *Set {
+	return &Set{
+		dataCentre: dataCentre, random: random, daemons: 1, budget: budget,
+		pools: make(map[string]*Pool), replicas: make(map[string]*Replica),
+	}
+}
+
+// Pool returns the pool of a service.
+func (s *Set) Pool(service string) *Pool {
+	p := s.pools[service]
+	if p == nil {
+		p = &Pool{set: s, service: service}
+		s.share(p)
+		s.pools[service] = p
+	}
+	return p
+}
+
+// SetDaemons sets the number of daemons over which fleet-wide limits are
+// divided.
+func (s *Set) SetDaemons(count int) {
+	s.daemons = max(1, count)
+	for _, p := range s.pools {
+		s.share(p)
+	}
+}
+
+// budgetMargin keeps back a part of the budget, because the daemons' windows
+// begin at other instants than the one that counts.
+const budgetMargin = 0.9
+
+func (s *Set) share(p *Pool) {
+	p.budget.Configure(s.budget.Ratio*budgetMargin, s.budget.Slack*budgetMargin/float64(s.daemons), s.budget.Span, s.budget.Began)
+}
+
+// SetOut names the data centres that are taken out of service.
+func (s *Set) SetOut(dataCentres []string) { s.out = dataCentres }
+
+// Put takes an entry of the list that is new or has changed.
+func (s *Set) Put(now clock.Millis, e Entry) {
+	r := s.replicas[e.ID()]
+	if r != nil && (r.entry.spec.Born != e.spec.Born || r.entry.Service() != e.Service() || r.entry.Address() != e.Address()) {
+		s.Drop(e.ID())
+		r = nil
+	}
+	if r == nil {
+		p := s.Pool(e.Service())
+		r = &Replica{pool: p}
+		s.replicas[e.ID()] = r
+		p.replicas = append(p.replicas, r)
+	}
+	if e.Draining() && !r.entry.Draining() {
+		r.drainSeen = now
+	}
+	r.entry = e
+	if e.spec.ColdFor > 0 {
+		r.becomeCold(now, e.spec.ColdFor)
+	} else {
+		r.coldUntil = min(r.coldUntil, now)
+	}
+}
+
+// Drop removes a replica that is gone from the list.
+func (s *Set) Drop(id string) {
+	r := s.replicas[id]
+	if r == nil {
+		return
+	}
+	r.removed = true
+	delete(s.replicas, id)
+	r.pool.replicas = slices.DeleteFunc(r.pool.replicas, func(x *Replica) bool { return x == r })
+}
+
+// Len returns the number of listed replicas.
+func (s *Set) Len() int { return len(s.replicas) }
+
+func (r *Replica) becomeCold(now, left clock.Millis) {
+	if !r.Cold(now) && r.pool.warmupRate > 0 {
+		// Spreads the first requests of the daemons over one interval.
+		r.coldNext = now + r.pool.coldInterval()*clock.Millis(r.pool.set.random.Float64())
+	}
+	r.coldUntil = now + left
+}
+
+// Pool is the replicas of one service.
+type Pool struct {
+	set         *Set
+	service     string
+	replicas    []*Replica
+	connections int
+	warmupRate  float64
+	budget      quota.Window
+}
+
+// Configure sets the fleet-wide limits of each replica: the connections that it
+// accepts and the requests a second that it bears while cold. Zero stands for
+// no limit.
+func (p *Pool) Configure(connections int, warmupRate float64) {
+	p.connections, p.warmupRate = connections, warmupRate
+}
+
+// Service returns the name of the service.
+func (p *Pool) Service() string { return p.service }
+
+// Budget returns this daemon's part of the budget of repeated requests.
+func (p *Pool) Budget() *quota.Window { return &p.budget }
+
+// Replicas returns the listed replicas. The slice must not be changed.
+func (p *Pool) Replicas() []*Replica { return p.replicas }
+
+// Connections returns how many connections this daemon may have to one replica.
+func (p *Pool) Connections() int {
+	if p.connections == 0 {
+		return unlimitedConnections
+	}
+	return max(1, p.connections/p.set.daemons)
+}
+
+const unlimitedConnections = 1 << 10
+
+// coldInterval returns the time between two requests of this daemon to one
+// cold replica, so that all daemons together keep to the rate.
+func (p *Pool) coldInterval() clock.Millis {
+	return clock.Second * clock.Millis(float64(p.set.daemons)/p.warmupRate)
+}
--- /dev/null
+++ b/core/route/table.go
@@ -0,0 +1,125 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+)
+
+// Service is what the operators say of a service.
+type Service struct {
+	name        string
+	connections int
+	warmupRate  float64
+}
+
+// NewService returns a service. Connections is the number that one replica
+// accepts from all callers together; 0 stands for no limit. WarmupRate is the
+// number of requests a second that a cold replica bears; 0 stands for no limit.
+func NewService(name string, connections int, warmupRate float64) Service {
+	return Service{name: name, connections: connections, warmupRate: warmupRate}
+}
+
+// Name returns the name.
+func (s Service) Name() string { return s.name }
+
+// Connections returns how many connections a replica accepts, or 0.
+func (s Service) Connections() int { return s.connections }
+
+// WarmupRate returns the requests a second that a cold replica bears, or 0.
+func (s Service) WarmupRate() float64 { return s.warmupRate }
+
+// Limits bound what a caller may send. Zero fields stand for the defaults of
+// the daemon.
+type Limits struct {
+	headerBytes   int
+	bodyBytes     int
+	headerTimeout clock.Millis
+	idleTimeout   clock.Millis
+}
+
+// NewLimits returns the limits of callers.
+func NewLimits(headerBytes, bodyBytes int, headerTimeout, idleTimeout clock.Millis) Limits {
+	return Limits{headerBytes: headerBytes, bodyBytes: bodyBytes, headerTimeout: headerTimeout, idleTimeout: idleTimeout}
+}
+
+// HeaderBytes returns the largest size of a request's header.
+func (l Limits) HeaderBytes() int { return l.headerBytes }
+
+// BodyBytes returns the largest size of a request's body.
+func (l Limits) BodyBytes() int { return l.bodyBytes }
+
+// HeaderTimeout returns how long a caller may take to send a header.
+func (l Limits) HeaderTimeout() clock.Millis { return l.headerTimeout }
+
+// IdleTimeout returns how long a caller's connection may be idle.
+func (l Limits) IdleTimeout() clock.Millis { return l.idleTimeout }
+
+// Table is one version of the configuration. It is immutable.
+type Table struct {
+	version  uint64
+	hosts    map[string][]*Route // longest prefix first
+	routes   int
+	services map[string]Service
+	limits   Limits
+}
+
+// NewTable returns the table of a version. It returns ErrInvalid if a route
+// names an unknown service.
+func NewTable(version uint64, routes []*Route, services []Service, limits Limits) (*Table, error) {
+	t := &Table{
+		version: version, limits: limits, routes: len(routes),
+		hosts: make(map[string][]*Route), services: make(map[string]Service, len(services)),
+	}
+	for _, s := range services {
+		t.services[s.name] = s
+	}
+	for _, r := range routes {
+		for _, name := range r.Services() {
+			if _, ok := t.services[name]; !ok {
+				return nil, errors.Wrapf(ErrInvalid, "route %q: service %q is not defined", r.Name(), name)
+			}
+		}
+		host := strings.ToLower(r.Host())
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, list := range t.hosts {
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix()), len(a.Prefix())) })
+	}
+	return t, nil
+}
+
+// Version returns the operators' number of the configuration.
+func (t *Table) Version() uint64 { return t.version }
+
+// Routes returns the number of routes.
+func (t *Table) Routes() int { return t.routes }
+
+// Limits returns the limits of callers.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Service returns a service by name.
+func (t *Table) Service(name string) (Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Services returns the services by name. The map must not be changed.
+func (t *Table) Services() map[string]Service { return t.services }
+
+// Match returns the route with the longest prefix that begins the path.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix()) {
+			return r, true
+		}
+	}
+	return nil, false
+}
--- a/lovagegapd/internal/callers/callers.go
+++ b/entry/callers/callers.go
@@ -20,8 +20,8 @@
 	"github.com/lovagegap/lovagegap/core/query"
 	"github.com/lovagegap/lovagegap/core/settings"
 	"github.com/lovagegap/lovagegap/core/ticket"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/engine"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/telemetry"
+	"github.com/lovagegap/lovagegap/entry/engine"
+	"github.com/lovagegap/lovagegap/entry/telemetry"
 )
 
 const maxBody = "1M"
--- a/lovagegapd/internal/callers/callers_test.go
+++ b/entry/callers/callers_test.go
@@ -17,9 +17,9 @@
 	"github.com/lovagegap/lovagegap/core/snapshot"
 	"github.com/lovagegap/lovagegap/core/ticket"
 	"github.com/lovagegap/lovagegap/core/upstream"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/callers"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/engine"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/telemetry"
+	"github.com/lovagegap/lovagegap/entry/callers"
+	"github.com/lovagegap/lovagegap/entry/engine"
+	"github.com/lovagegap/lovagegap/entry/telemetry"
 )
 
 const path = "/v1/users/u/services/s/query"
--- a/lovagegapd/internal/control/control.go
+++ b/entry/control/control.go
@@ -26,7 +26,7 @@
 	"github.com/lovagegap/lovagegap/core/journal"
 	"github.com/lovagegap/lovagegap/core/rollout"
 	"github.com/lovagegap/lovagegap/core/settings"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/platform"
+	"github.com/lovagegap/lovagegap/entry/platform"
 )
 
 // settingsKey is the platform's key of the settings document.
--- a/lovagegapd/internal/control/settings.go
+++ b/entry/control/settings.go
@@ -10,8 +10,8 @@
 	"github.com/lovagegap/lovagegap/core/journal"
 	"github.com/lovagegap/lovagegap/core/rollout"
 	"github.com/lovagegap/lovagegap/core/settings"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/operators"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/platform"
+	"github.com/lovagegap/lovagegap/entry/operators"
+	"github.com/lovagegap/lovagegap/entry/platform"
 )
 
 // Document returns the document in force.
--- a/lovagegapd/internal/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -19,14 +19,14 @@
 	"github.com/lovagegap/lovagegap/core/fleet"
 	"github.com/lovagegap/lovagegap/core/journal"
 	"github.com/lovagegap/lovagegap/core/ticket"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/callers"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/control"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/operators"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/peers"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/platform"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/relay"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/telemetry"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/upstreams"
+	"github.com/lovagegap/lovagegap/entry/callers"
+	"github.com/lovagegap/lovagegap/entry/control"
+	"github.com/lovagegap/lovagegap/entry/operators"
+	"github.com/lovagegap/lovagegap/entry/peers"
+	"github.com/lovagegap/lovagegap/entry/platform"
+	"github.com/lovagegap/lovagegap/entry/relay"
+	"github.com/lovagegap/lovagegap/entry/telemetry"
+	"github.com/lovagegap/lovagegap/entry/upstreams"
 )
 
 // ErrListen means that an address could not be bound.
--- a/lovagegapd/internal/daemon/discovery.go
+++ b/entry/daemon/discovery.go
@@ -11,8 +11,8 @@
 	"github.com/lovagegap/lovagegap/core/fleet"
 	"github.com/lovagegap/lovagegap/core/inventory"
 	"github.com/lovagegap/lovagegap/core/upstream"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/platform"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/upstreams"
+	"github.com/lovagegap/lovagegap/entry/platform"
+	"github.com/lovagegap/lovagegap/entry/upstreams"
 )
 
 const (
--- a/lovagegapd/internal/daemon/faults_test.go
+++ b/entry/daemon/faults_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lovagegap/lovagegap/lovagegap-standin/upstreams"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/operators"
+	"github.com/lovagegap/lovagegap/entry/operators"
 )
 
 // Guards against an overload of upstreams that fall back into a cold start, one
--- a/lovagegapd/internal/daemon/harness_test.go
+++ b/entry/daemon/harness_test.go
@@ -28,7 +28,7 @@
 	"github.com/lovagegap/lovagegap/lovagegap-standin/deployment"
 	"github.com/lovagegap/lovagegap/lovagegap-standin/platform"
 	"github.com/lovagegap/lovagegap/lovagegap-standin/upstreams"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/operators"
+	"github.com/lovagegap/lovagegap/entry/operators"
 )
 
 const (
--- a/lovagegapd/internal/daemon/records.go
+++ b/entry/daemon/records.go
@@ -5,7 +5,7 @@
 	"github.com/lovagegap/lovagegap/core/fleet"
 	"github.com/lovagegap/lovagegap/core/quarantine"
 	"github.com/lovagegap/lovagegap/core/upstream"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/codec"
+	"github.com/lovagegap/lovagegap/entry/codec"
 )
 
 // Kinds of records besides those of the inventory.
--- a/lovagegapd/internal/daemon/services.go
+++ b/entry/daemon/services.go
@@ -14,10 +14,10 @@
 	"github.com/lovagegap/lovagegap/core/query"
 	"github.com/lovagegap/lovagegap/core/settings"
 	"github.com/lovagegap/lovagegap/core/upstream"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/callers"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/engine"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/relay"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/upstreams"
+	"github.com/lovagegap/lovagegap/entry/callers"
+	"github.com/lovagegap/lovagegap/entry/engine"
+	"github.com/lovagegap/lovagegap/entry/relay"
+	"github.com/lovagegap/lovagegap/entry/upstreams"
 )
 
 // services holds the engines of all services and keeps them in step with the
--- a/lovagegapd/internal/daemon/view.go
+++ b/entry/daemon/view.go
@@ -4,7 +4,7 @@
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/fleet"
 	"github.com/lovagegap/lovagegap/core/upstream"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/operators"
+	"github.com/lovagegap/lovagegap/entry/operators"
 )
 
 // view shows operators what the daemon knows.
--- a/lovagegapd/internal/engine/bench_test.go
+++ b/entry/engine/bench_test.go
@@ -19,8 +19,8 @@
 	"github.com/lovagegap/lovagegap/core/settings"
 	"github.com/lovagegap/lovagegap/core/snapshot"
 	"github.com/lovagegap/lovagegap/core/upstream"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/engine"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/upstreams"
+	"github.com/lovagegap/lovagegap/entry/engine"
+	"github.com/lovagegap/lovagegap/entry/upstreams"
 )
 
 // wide is the fan-out of the design size.
--- /dev/null
+++ b/entry/front/front.go
@@ -0,0 +1,213 @@
+// Package front is the adapter for callers whose requests are passed on
+// unchanged: it reads a request, hands it to the engine, and writes the answer.
+//
+// It is a plain http.Handler: any host, method and path may come, and nothing
+// may be normalised on the way.
+//
+// # Usage
+//
+//	handler := front.New(engine, front.Names{…}, life)
+//	server := &http.Server{Handler: handler}
+package front
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/route"
+	"github.com/lovagegap/lovagegap/entry/routing"
+)
+
+// Names are the headers between callers and daemons.
+type Names struct {
+	RequestID string // names the request
+	Deadline  string // time that the caller will wait, in whole milliseconds
+	Expect    string // reserved to daemons; not taken from callers
+	Seals     string // proofs of the parts of an answer over many shards
+	Missing   string // number of shards that are left out
+}
+
+// Life tells how far the daemon's life is.
+type Life interface {
+	// Leaving reports whether callers should use other daemons.
+	Leaving() bool
+}
+
+const defaultBodyBytes = 1 << 20
+
+var errTooLarge = errors.New("body too large")
+
+// Handler serves callers. It is safe for concurrent use.
+type Handler struct {
+	engine *routing.Engine
+	names  Names
+	life   Life
+}
+
+// New returns a handler.
+func New(engine *routing.Engine, names Names, life Life) *Handler {
+	return &Handler{engine: engine, names: names, life: life}
+}
+
+// ServeHTTP serves one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	path := pathOf(r)
+	found, refused := h.engine.Admit(r.Host, path)
+	if found == nil {
+		h.write(w, r, refused)
+		return
+	}
+	body, err := h.readBody(r)
+	switch {
+	case errors.Is(err, errTooLarge):
+		w.Header().Set("Connection", "close")
+		http.Error(w, "the body is too large", http.StatusRequestEntityTooLarge)
+		return
+	case err != nil:
+		w.Header().Set("Connection", "close")
+		http.Error(w, "the body is incomplete", http.StatusBadRequest)
+		return
+	}
+	answer := h.engine.Do(r.Context(), found, h.request(r, path, body))
+	h.write(w, r, answer)
+}
+
+// pathOf returns the path as the caller sent it.
+func pathOf(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		path, _, _ := strings.Cut(r.RequestURI, "?")
+		return path
+	}
+	return r.URL.EscapedPath()
+}
+
+func (h *Handler) readBody(r *http.Request) ([]byte, error) {
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		return nil, nil
+	}
+	limit := int64(defaultBodyBytes)
+	if limits, ok := h.engine.Limits(); ok && limits.BodyBytes() > 0 {
+		limit = int64(limits.BodyBytes())
+	}
+	if r.ContentLength > limit {
+		return nil, errTooLarge
+	}
+	if r.ContentLength > 0 {
+		body := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(r.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		return nil, errTooLarge
+	}
+	return body, err
+}
+
+func (h *Handler) request(r *http.Request, path string, body []byte) routing.Request {
+	target := r.RequestURI
+	if !strings.HasPrefix(target, "/") {
+		target = r.URL.RequestURI()
+	}
+	request := routing.Request{
+		ID: r.Header.Get(h.names.RequestID), Method: r.Method, Target: target, Path: path,
+		Host: r.Host, Body: body,
+	}
+	if left, err := strconv.ParseFloat(r.Header.Get(h.names.Deadline), 64); err == nil && left > 0 {
+		request.Deadline = clock.Millis(left)
+	}
+	request.Header = h.forwarded(r.Header)
+	return request
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// forwarded returns the headers that go to the replica. The header of the
+// request is changed, since nobody reads it afterwards.
+func (h *Handler) forwarded(header http.Header) http.Header {
+	for _, value := range header["Connection"] {
+		for _, name := range strings.Split(value, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(header, name)
+	}
+	header.Del(h.names.Deadline)
+	header.Del(h.names.Expect)
+	return header
+}
+
+// write sends the answer.
+func (h *Handler) write(w http.ResponseWriter, r *http.Request, answer routing.Answer) {
+	if answer.Gone() {
+		return
+	}
+	header := w.Header()
+	if h.life.Leaving() {
+		header.Set("Connection", "close")
+	}
+	var body []byte
+	switch reply := answer.Reply(); {
+	case reply != nil:
+		for name, values := range reply.Header() {
+			header[name] = values
+		}
+		for _, name := range hopHeaders {
+			if name != "Connection" {
+				delete(header, name)
+			}
+		}
+		delete(header, "Connection")
+		if h.life.Leaving() {
+			header.Set("Connection", "close")
+		}
+		body = reply.Body()
+	case answer.Seals() != nil:
+		header.Set(h.names.Seals, strings.Join(answer.Seals(), ", "))
+		header.Set(h.names.Missing, strconv.Itoa(answer.Missing()))
+		header.Set("Content-Type", "application/octet-stream")
+		body = answer.Body()
+	default:
+		header.Set("Content-Type", "text/plain; charset=utf-8")
+		if after := answer.RetryAfter(); after > 0 {
+			header.Set("Retry-After", strconv.FormatFloat(float64(after/clock.Second), 'f', 3, 64))
+		}
+		body = []byte(answer.Reason() + "\n")
+	}
+	if id := r.Header.Get(h.names.RequestID); id != "" && answer.Reply() == nil {
+		header.Set(h.names.RequestID, id)
+	}
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(answer.Status())
+	_, _ = w.Write(body)
+}
+
+// ServerLimits are the limits of the HTTP server for callers.
+func ServerLimits(limits route.Limits) (headerBytes int, headerTimeout, idleTimeout clock.Millis) {
+	const (
+		defaultHeaderBytes = 16 << 10
+		defaultHeader      = 3 * clock.Second
+		defaultIdle        = 15 * clock.Second
+	)
+	headerBytes, headerTimeout, idleTimeout = defaultHeaderBytes, defaultHeader, defaultIdle
+	if limits.HeaderBytes() > 0 {
+		headerBytes = limits.HeaderBytes()
+	}
+	if limits.HeaderTimeout() > 0 {
+		headerTimeout = limits.HeaderTimeout()
+	}
+	if limits.IdleTimeout() > 0 {
+		idleTimeout = limits.IdleTimeout()
+	}
+	return headerBytes, headerTimeout, idleTimeout
+}
--- /dev/null
+++ b/entry/gateway/configuration.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/replica"
+)
+
+// ErrConfiguration means that the process configuration cannot be used. The
+// error names the field and what is allowed.
+var ErrConfiguration = errors.New("bad configuration")
+
+// Process is the process configuration of a gateway, a JSON file. Fields that
+// it does not know are ignored.
+type Process struct {
+	Name       string   `json:"name"`
+	DataCentre string   `json:"dataCentre"`
+	Region     string   `json:"region"`
+	Callers    string   `json:"callers"`   // address for callers
+	Readiness  string   `json:"readiness"` // address for readiness checks
+	Addresses  string   `json:"addresses"` // address for questions where to connect
+	Peers      string   `json:"peers"`     // address for other daemons
+	Store      string   `json:"store"`     // address of the platform's store
+	Seeds      []string `json:"seeds"`
+	Key        string   `json:"key"` // shared by the daemons of a deployment
+	// GraceS is the time in seconds from the stop signal to the end.
+	GraceS float64 `json:"graceS"`
+	// LifetimeS is the time in seconds for which callers may keep addresses.
+	LifetimeS float64     `json:"lifetimeS"`
+	Repeats   RepeatLimit `json:"repeats"`
+	Log       LogLevel    `json:"log"`
+}
+
+// RepeatLimit is the budget of repeated requests of a service over all daemons:
+// in any window, Ratio times the requests plus Slack.
+type RepeatLimit struct {
+	Ratio   float64 `json:"ratio"`
+	Slack   float64 `json:"slack"`
+	WindowS float64 `json:"windowS"`
+}
+
+// LogLevel sets what is logged.
+type LogLevel struct {
+	// Level is 0 for failures and changes, 1 for each decision, 2 for details.
+	Level int `json:"level"`
+}
+
+// Load reads and checks a process configuration. It returns ErrConfiguration.
+func Load(path string) (Process, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Process{}, errors.Mark(errors.Wrap(err, "read the configuration"), ErrConfiguration)
+	}
+	return Parse(text)
+}
+
+// Parse checks the text of a process configuration. It returns
+// ErrConfiguration.
+func Parse(text []byte) (Process, error) {
+	var p Process
+	if err := json.NewDecoder(bytes.NewReader(text)).Decode(&p); err != nil {
+		var wrong *json.UnmarshalTypeError
+		if errors.As(err, &wrong) {
+			return p, errors.Wrapf(ErrConfiguration, "%s: must be a %s, not a %s", wrong.Field, wrong.Type, wrong.Value)
+		}
+		return p, errors.Wrapf(ErrConfiguration, "not JSON: %v", err)
+	}
+	return p, p.check()
+}
+
+func (p *Process) check() error {
+	addresses := []struct{ field, value string }{
+		{"callers", p.Callers}, {"readiness", p.Readiness}, {"addresses", p.Addresses},
+		{"peers", p.Peers}, {"store", p.Store},
+	}
+	for _, a := range addresses {
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			return errors.Wrapf(ErrConfiguration, "%s: %q must be IP:port", a.field, a.value)
+		}
+	}
+	for i, seed := range p.Seeds {
+		if _, _, err := net.SplitHostPort(seed); err != nil {
+			return errors.Wrapf(ErrConfiguration, "seeds[%d]: %q must be IP:port", i, seed)
+		}
+	}
+	switch {
+	case p.Name == "":
+		return errors.Wrap(ErrConfiguration, "name: must not be empty")
+	case p.DataCentre == "":
+		return errors.Wrap(ErrConfiguration, "dataCentre: must not be empty")
+	case !(p.GraceS > 0 && p.GraceS <= 3600):
+		return errors.Wrapf(ErrConfiguration, "graceS: %v must be above 0 and at most 3600 seconds", p.GraceS)
+	case !(p.LifetimeS > 0 && p.LifetimeS <= 600):
+		return errors.Wrapf(ErrConfiguration, "lifetimeS: %v must be above 0 and at most 600 seconds", p.LifetimeS)
+	case !(p.Repeats.Ratio >= 0 && p.Repeats.Ratio <= 1):
+		return errors.Wrapf(ErrConfiguration, "repeats.ratio: %v must be between 0 and 1", p.Repeats.Ratio)
+	case !(p.Repeats.Slack >= 0):
+		return errors.Wrapf(ErrConfiguration, "repeats.slack: %v must not be negative", p.Repeats.Slack)
+	case !(p.Repeats.WindowS > 0):
+		return errors.Wrapf(ErrConfiguration, "repeats.windowS: %v must be above 0 seconds", p.Repeats.WindowS)
+	case p.Log.Level < 0 || p.Log.Level > 2:
+		return errors.Wrapf(ErrConfiguration, "log.level: %d must be 0, 1 or 2", p.Log.Level)
+	}
+	return nil
+}
+
+// Config returns the part of the process configuration that the gateway needs.
+func (p *Process) Config() Config {
+	return Config{
+		Name: p.Name, DataCentre: p.DataCentre, Region: p.Region, Callers: p.Callers, Peers: p.Peers,
+		Seeds: p.Seeds, Key: []byte(p.Key),
+		Budget: replica.BudgetPolicy{
+			Ratio: p.Repeats.Ratio, Slack: p.Repeats.Slack, Span: clock.Second * clock.Millis(p.Repeats.WindowS),
+		},
+		Grace:    clock.Second * clock.Millis(p.GraceS),
+		Lifetime: clock.Second * clock.Millis(p.LifetimeS),
+	}
+}
--- /dev/null
+++ b/entry/gateway/view.go
@@ -0,0 +1,207 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/mirror"
+	"github.com/lovagegap/lovagegap/entry/routing"
+)
+
+const viewTick = 250 * time.Millisecond
+
+// view keeps the mirror of the store, and turns its changes into facts for the
+// engine.
+type view struct {
+	gateway *Gateway
+	log     logr.Logger
+	store   Store
+	random  *rand.Rand
+
+	mu         sync.Mutex
+	mirror     mirror.Mirror
+	reader     *mirror.Reader
+	known      bool
+	registered bool
+}
+
+func newView(g *Gateway) *view {
+	v := &view{gateway: g, log: g.log.WithName("store"), store: g.ports.Store, random: derive(g.ports.Random)}
+	v.reader = mirror.NewReader(g.began, &v.mirror, derive(g.ports.Random))
+	return v
+}
+
+func (v *view) now() clock.Millis { return v.gateway.ports.Clock.Now() }
+
+func (v *view) run(ctx context.Context) {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	wait.Go(func() { v.ask(ctx) })
+	for ctx.Err() == nil {
+		v.mu.Lock()
+		now := v.now()
+		call := v.reader.Next(now)
+		v.mu.Unlock()
+		if !sleep(ctx, call.At()-now) {
+			return
+		}
+		v.read(ctx, call)
+		v.register(ctx)
+	}
+}
+
+func sleep(ctx context.Context, delay clock.Millis) bool {
+	if delay <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(delay.Duration())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// read carries out a read of the store.
+func (v *view) read(ctx context.Context, call mirror.Call) {
+	ctx, cancel := context.WithTimeout(ctx, call.Timeout().Duration())
+	defer cancel()
+	v.mu.Lock()
+	v.reader.Begin(v.now())
+	v.mu.Unlock()
+	var page Page
+	var err error
+	if call.Kind() == mirror.List {
+		page, err = v.store.List(ctx, v.gateway.config.Prefix, call.AfterKey())
+	} else {
+		page, err = v.store.Watch(ctx, v.gateway.config.Prefix, call.After(), call.Wait())
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.now()
+	if err != nil {
+		if v.reader.Failed(now, err) {
+			v.log.Info("store lost", "error", err.Error())
+		}
+		return
+	}
+	if !v.reader.Reached() {
+		v.log.Info("store reached", "revision", page.Revision)
+	}
+	if call.Kind() == mirror.List {
+		v.learn(v.reader.Page(now, page.Items, page.Revision, page.More))
+	} else {
+		v.learn(v.reader.Events(now, page.Items, page.Revision))
+	}
+	v.learn(v.mirror.Expire(now))
+}
+
+// learn hands changes of the mirror to the engine. The caller holds the lock.
+func (v *view) learn(changes []mirror.Item) {
+	var facts []routing.Fact
+	var seeds []string
+	registry := v.gateway.config.Registry
+	for _, item := range changes {
+		if registry != "" && strings.HasPrefix(item.Key(), registry) {
+			if !item.Removed() {
+				seeds = append(seeds, strings.TrimPrefix(item.Key(), registry))
+			}
+			continue
+		}
+		facts = append(facts, v.gateway.ports.Interpreter.Facts(item)...)
+	}
+	if len(seeds) > 0 {
+		v.gateway.roster.AddSeeds(seeds)
+	}
+	if len(facts) > 0 {
+		v.gateway.engine.Learn(facts)
+	}
+	if !v.known && v.mirror.Complete() && v.gateway.engine.Version() > 0 {
+		v.known = true
+		close(v.gateway.complete)
+	}
+}
+
+// register writes this daemon's address to the store once, so that daemons
+// find each other without seeds.
+func (v *view) register(ctx context.Context) {
+	registry := v.gateway.config.Registry
+	if v.registered || registry == "" {
+		return
+	}
+	v.mu.Lock()
+	complete := v.mirror.Complete()
+	_, listed := v.mirror.Get(registry + v.gateway.config.Peers)
+	v.mu.Unlock()
+	if !complete {
+		return
+	}
+	if !listed {
+		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		if err := v.store.Put(ctx, registry+v.gateway.config.Peers, []byte(v.gateway.config.DataCentre)); err != nil {
+			return
+		}
+	}
+	v.registered = true
+}
+
+// ask asks peers while the store does not answer this daemon.
+func (v *view) ask(ctx context.Context) {
+	for sleep(ctx, clock.FromDuration(viewTick)) {
+		v.mu.Lock()
+		now := v.now()
+		wanted := v.reader.AskPeer(now)
+		after := v.mirror.Revision()
+		if !v.mirror.Complete() {
+			after = 0
+		}
+		v.learn(v.mirror.Expire(now))
+		v.mu.Unlock()
+		if !wanted {
+			continue
+		}
+		if peers := v.gateway.roster.Peers(); len(peers) > 0 {
+			v.askPeer(ctx, string(peers[v.random.IntN(len(peers))]), after)
+		}
+	}
+}
+
+func (v *view) askPeer(ctx context.Context, peer string, after uint64) {
+	reply, err := fetch(ctx, v.gateway.config.Key, peer, after)
+	if err != nil {
+		if !errors.Is(err, context.Canceled) {
+			v.log.V(1).Info("peer did not tell", "peer", peer, "error", err.Error())
+		}
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.learn(v.reader.Told(v.now(), reply.items(), reply.Complete, reply.Revision, clock.Millis(reply.Age)))
+}
+
+// tell returns what a peer does not know yet.
+func (v *view) tell(after uint64) viewReply {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.mirror.Complete() {
+		return viewReply{}
+	}
+	items, complete, revision := v.mirror.Since(after)
+	reply := viewReply{Complete: complete, Revision: revision, Age: float64(v.reader.Age(v.now()))}
+	for _, item := range items {
+		reply.Items = append(reply.Items, viewItem{
+			Key: item.Key(), Value: item.Value(), Revision: item.Revision(), Removed: item.Removed(),
+		})
+	}
+	return reply
+}
--- a/lovagegapd/internal/operators/operators_test.go
+++ b/entry/operators/operators_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/lovagegap/lovagegap/core/journal"
 	"github.com/lovagegap/lovagegap/core/settings"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/operators"
+	"github.com/lovagegap/lovagegap/entry/operators"
 )
 
 // fake is the daemon behind the handler.
--- a/lovagegapd/internal/peers/handshake.go
+++ b/entry/peers/handshake.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
 
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/codec"
+	"github.com/lovagegap/lovagegap/entry/codec"
 )
 
 const (
--- a/lovagegapd/internal/peers/link.go
+++ b/entry/peers/link.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
 
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/codec"
+	"github.com/lovagegap/lovagegap/entry/codec"
 )
 
 // writeTimeout ends a link whose other end does not read. Membership then
--- a/lovagegapd/internal/peers/peers_test.go
+++ b/entry/peers/peers_test.go
@@ -12,7 +12,7 @@
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/peers"
+	"github.com/lovagegap/lovagegap/entry/peers"
 )
 
 // wait bounds how long a test waits for an event that must come; no verdict
--- a/lovagegapd/internal/platform/platform_test.go
+++ b/entry/platform/platform_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	standin "github.com/lovagegap/lovagegap/lovagegap-standin/platform"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/platform"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/platform/platformtest"
+	"github.com/lovagegap/lovagegap/entry/platform"
+	"github.com/lovagegap/lovagegap/entry/platform/platformtest"
 )
 
 // port is the contract that the client and the fake share.
--- a/lovagegapd/internal/platform/platformtest/platformtest.go
+++ b/entry/platform/platformtest/platformtest.go
@@ -15,7 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/platform"
+	"github.com/lovagegap/lovagegap/entry/platform"
 )
 
 // Fake is a platform in memory. The zero value is empty and up. It is safe for
--- a/lovagegapd/internal/relay/fuzz_test.go
+++ b/entry/relay/fuzz_test.go
@@ -7,7 +7,7 @@
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/query"
 	"github.com/lovagegap/lovagegap/core/upstream"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/relay"
+	"github.com/lovagegap/lovagegap/entry/relay"
 )
 
 // nowhere is a set of links without peers.
--- a/lovagegapd/internal/relay/relay.go
+++ b/entry/relay/relay.go
@@ -21,7 +21,7 @@
 	"github.com/lovagegap/lovagegap/core/query"
 	"github.com/lovagegap/lovagegap/core/snapshot"
 	"github.com/lovagegap/lovagegap/core/upstream"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/codec"
+	"github.com/lovagegap/lovagegap/entry/codec"
 )
 
 // maxRunning bounds the sub-requests that this daemon runs for its peers at a
--- a/lovagegapd/internal/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -14,9 +14,9 @@
 	"github.com/lovagegap/lovagegap/core/query"
 	"github.com/lovagegap/lovagegap/core/snapshot"
 	"github.com/lovagegap/lovagegap/core/upstream"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/benchtime"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/peers"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/relay"
+	"github.com/lovagegap/lovagegap/entry/benchtime"
+	"github.com/lovagegap/lovagegap/entry/peers"
+	"github.com/lovagegap/lovagegap/entry/relay"
 )
 
 const wait = 10 * time.Second
--- a/lovagegapd/internal/relay/wire.go
+++ b/entry/relay/wire.go
@@ -6,7 +6,7 @@
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/snapshot"
 	"github.com/lovagegap/lovagegap/core/upstream"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/codec"
+	"github.com/lovagegap/lovagegap/entry/codec"
 )
 
 // errMessage means that a peer sent a relay message that no daemon sends.
--- /dev/null
+++ b/entry/roster/roster.go
@@ -0,0 +1,246 @@
+// Package roster keeps the view of the other entry daemons for a daemon that
+// serves routes: who they are, which of them serve callers, and over how many
+// daemons the fleet-wide limits are divided.
+//
+// The decisions are those of package fleet of the core. The roster ticks the
+// state machine, feeds it messages and carries out its actions.
+//
+// # Usage
+//
+//	r := roster.New(roster.Parts{…})
+//	r.Connect(hub)
+//	go r.Run(ctx)
+//	r.Ready()                        // callers may come
+//	addresses := r.Addresses("ikeja")
+//	r.Leave(); … r.Left()            // planned stop
+package roster
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/fleet"
+)
+
+// Links carries messages to other daemons. An error means that no byte was
+// sent.
+type Links interface {
+	Dial(peer string)
+	Hangup(peer string)
+	Send(peer string, message []byte) error
+}
+
+// Parts are what a roster is built from.
+type Parts struct {
+	Clock  clock.Clock
+	Log    logr.Logger
+	Self   fleet.Member
+	Random *rand.Rand
+	// Changed is called with the number of daemons that share the fleet-wide
+	// limits. It must not call back.
+	Changed func(daemons int)
+}
+
+// Roster is the view of the fleet. It is safe for concurrent use.
+type Roster struct {
+	parts Parts
+	links Links
+
+	mu         sync.Mutex
+	membership *fleet.Membership
+	seeds      map[fleet.ID]bool
+	daemons    int
+	serving    []fleet.Member
+}
+
+// New returns the roster of a daemon that starts.
+func New(parts Parts) *Roster {
+	return &Roster{
+		parts: parts, membership: fleet.New(parts.Self, parts.Random, nil),
+		seeds: make(map[fleet.ID]bool), daemons: 1,
+	}
+}
+
+// Connect gives the roster its links. It must be called before Run.
+func (r *Roster) Connect(links Links) { r.links = links }
+
+// Run ticks the state machine until ctx ends.
+func (r *Roster) Run(ctx context.Context) {
+	ticker := time.NewTicker(fleet.TickInterval.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.do(r.membership.Tick)
+		}
+	}
+}
+
+// do runs one step of the state machine and carries out its actions.
+func (r *Roster) do(step func(now clock.Millis) []fleet.Action) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.perform(step(r.parts.Clock.Now()))
+}
+
+func (r *Roster) perform(actions []fleet.Action) {
+	for _, action := range actions {
+		switch action.Kind() {
+		case fleet.Send:
+			text, err := fleet.Encode(r.membership.Self(), action.Message())
+			if err == nil {
+				err = r.links.Send(string(action.Peer()), text)
+			}
+			if err != nil {
+				r.parts.Log.V(1).Info("message not sent", "peer", string(action.Peer()), "error", err.Error())
+			}
+		case fleet.Dial:
+			r.links.Dial(string(action.Peer()))
+		case fleet.Hangup:
+			r.links.Hangup(string(action.Peer()))
+		case fleet.Changed:
+			r.changed()
+		}
+	}
+}
+
+// AddSeeds takes addresses of daemons that may be running.
+func (r *Roster) AddSeeds(addresses []string) {
+	r.do(func(now clock.Millis) []fleet.Action {
+		known := len(r.seeds)
+		for _, address := range addresses {
+			if id := fleet.ID(address); id != r.parts.Self.ID() {
+				r.seeds[id] = true
+			}
+		}
+		if len(r.seeds) == known {
+			return nil
+		}
+		vms := make([]fleet.VM, 0, len(r.seeds))
+		for id := range r.seeds {
+			vms = append(vms, fleet.NewVM(id, "", "", "", false))
+		}
+		r.count()
+		return r.membership.Seed(now, vms)
+	})
+}
+
+// changed takes a new view of the members.
+func (r *Roster) changed() {
+	r.serving = r.serving[:0]
+	for _, m := range r.membership.Members() {
+		if m.Alive() && m.Callers() != "" {
+			r.serving = append(r.serving, m)
+		}
+	}
+	r.count()
+}
+
+// count derives over how many daemons the limits are divided: all that may
+// still send, so also those that are suspected or leave. Before any peer has
+// answered, the seeds count.
+func (r *Roster) count() {
+	present := 0
+	for _, m := range r.membership.Members() {
+		switch m.State() {
+		case fleet.Dead, fleet.Left:
+		default:
+			present++
+		}
+	}
+	if present == 1 {
+		present = max(present, len(r.seeds)+1)
+	}
+	if present != r.daemons {
+		r.daemons = present
+		r.parts.Log.Info("shares of fleet-wide limits recomputed", "daemons", present)
+		r.parts.Changed(present)
+	}
+}
+
+// Ready announces that the daemon serves callers.
+func (r *Roster) Ready() { r.do(r.membership.Ready) }
+
+// Leave announces that the daemon is about to stop.
+func (r *Roster) Leave() { r.do(r.membership.Leave) }
+
+// Left announces that the daemon has stopped.
+func (r *Roster) Left() { r.do(r.membership.Left) }
+
+// Members returns all known daemons.
+func (r *Roster) Members() []fleet.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.membership.Members()
+}
+
+// Peers returns the daemons with an open link.
+func (r *Roster) Peers() []fleet.ID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.membership.Links()
+}
+
+// maxAddresses bounds an answer to a caller.
+const maxAddresses = 64
+
+// Addresses returns the callers' addresses of the daemons that serve a data
+// centre: its own, or all if it has fewer than two. A caller needs a second
+// address to turn to when the first one fails.
+func (r *Roster) Addresses(dataCentre string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var near, far []string
+	for _, m := range r.serving {
+		if m.DataCentre() == dataCentre {
+			near = append(near, m.Callers())
+		} else {
+			far = append(far, m.Callers())
+		}
+	}
+	if len(near) < 2 {
+		r.parts.Random.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+		near = append(near, far[:min(1, len(far))]...)
+	}
+	if len(near) > maxAddresses {
+		r.parts.Random.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+		near = near[:maxAddresses]
+	}
+	return slices.Clone(near)
+}
+
+// LinkUp takes an event of the links.
+func (r *Roster) LinkUp(peer string) {
+	r.do(func(now clock.Millis) []fleet.Action { return r.membership.LinkUp(now, fleet.ID(peer)) })
+}
+
+// LinkDown takes an event of the links.
+func (r *Roster) LinkDown(peer string) {
+	r.do(func(now clock.Millis) []fleet.Action { return r.membership.LinkDown(now, fleet.ID(peer)) })
+}
+
+// Receive takes a message of an authenticated peer. It returns the sentinels of
+// fleet for a message that no daemon sends.
+func (r *Roster) Receive(peer string, message []byte) error {
+	envelope, err := fleet.Open(message)
+	if err != nil {
+		return err
+	}
+	if string(envelope.From()) != peer {
+		return fleet.ErrMalformed
+	}
+	decoded, err := fleet.Decode(envelope)
+	if err != nil {
+		return err
+	}
+	r.do(func(now clock.Millis) []fleet.Action { return r.membership.Receive(now, envelope.From(), decoded) })
+	return nil
+}
--- /dev/null
+++ b/entry/routing/call.go
@@ -0,0 +1,175 @@
+package routing
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/dispatch"
+	"github.com/lovagegap/lovagegap/core/route"
+	"github.com/lovagegap/lovagegap/entry/exchange"
+)
+
+// call is one running request. All fields but done are used under the lock of
+// the engine.
+type call struct {
+	engine    *Engine
+	request   Request
+	route     *route.Route
+	began     clock.Millis
+	state     *dispatch.Request
+	exchanges []*exchange.Exchange
+	replies   []*exchange.Reply
+	timer     *time.Timer
+	finished  bool
+	done      chan Answer
+}
+
+func (c *call) start() {
+	e := c.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.parts.Clock.Now()
+	c.began = now
+	deadline := now + c.route.Timeout()
+	if c.request.Deadline > 0 {
+		deadline = min(deadline, now+c.request.Deadline)
+	}
+	profile := e.profile(c.route)
+	if e.stopAt > 0 {
+		if now+profile.Expected(c.route.Objective())*2 > e.stopAt {
+			c.finish(refusal(http.StatusServiceUnavailable, "the daemon stops", leavingRetry), "refused")
+			return
+		}
+		deadline = min(deadline, e.stopAt)
+	}
+	e.running[c] = struct{}{}
+	c.state = dispatch.New(now, c.route, deadline, dispatch.Resources{
+		Set: e.set, Profile: profile, Draw: e.parts.Random.Float64(),
+	})
+	c.perform(now, c.state.Start(now))
+}
+
+// perform carries out the actions of the state machine.
+func (c *call) perform(now clock.Millis, actions []dispatch.Action) {
+	for _, action := range actions {
+		switch action.Kind() {
+		case dispatch.Send:
+			c.send(action)
+		case dispatch.Abandon:
+			c.exchanges[action.Attempt()].Abandon(action.Linger())
+		case dispatch.Wake:
+			c.wake(now, action.At())
+		case dispatch.Finish:
+			c.conclude(action.Outcome())
+		}
+	}
+}
+
+func (c *call) send(action dispatch.Action) {
+	e := c.engine
+	entry := action.Replica().Entry()
+	x := e.client.New(exchange.Spec{
+		Address: entry.Address(), Instance: entry.ID(),
+		Method: c.request.Method, Target: c.request.Target, Host: c.request.Host,
+		Header: c.request.Header, Body: c.request.Body, Request: c.request.ID,
+		Deadline: action.At(), Fresh: !c.route.Idempotent(),
+	})
+	c.exchanges = append(c.exchanges, x)
+	c.replies = append(c.replies, nil)
+	e.parts.Meter.Sent(c.route.Name(), entry.Service(), action.Purpose().String())
+	go c.run(x, action.Attempt(), entry.Service())
+}
+
+func (c *call) run(x *exchange.Exchange, attempt int, service string) {
+	reply, result := x.Run()
+	e := c.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c.replies[attempt] = reply
+	e.parts.Meter.Ended(service, result.String())
+	now := e.parts.Clock.Now()
+	c.perform(now, c.state.Ended(now, attempt, result))
+}
+
+func (c *call) wake(now, at clock.Millis) {
+	delay := max(0, at-now).Duration()
+	if c.timer == nil {
+		c.timer = time.AfterFunc(delay, c.tick)
+		return
+	}
+	c.timer.Reset(delay)
+}
+
+func (c *call) tick() {
+	e := c.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.parts.Clock.Now()
+	c.perform(now, c.state.Tick(now))
+}
+
+// cancel takes that the caller left.
+func (c *call) cancel() {
+	e := c.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if c.finished {
+		return
+	}
+	now := e.parts.Clock.Now()
+	c.perform(now, c.state.Cancel(now))
+}
+
+// conclude turns the outcome into the answer.
+func (c *call) conclude(outcome dispatch.Outcome) {
+	var answer Answer
+	switch outcome.Kind() {
+	case dispatch.Answered:
+		answer = passOn(c.replies[outcome.Attempt()])
+	case dispatch.Gathered:
+		parts := make([]*exchange.Reply, len(outcome.Parts()))
+		for i, attempt := range outcome.Parts() {
+			parts[i] = c.replies[attempt]
+		}
+		answer = merge(c.route, parts, len(outcome.Missing()))
+	case dispatch.Refused:
+		answer = refusal(http.StatusServiceUnavailable, outcome.Reason(), outcome.RetryAfter())
+	case dispatch.Unavailable:
+		answer = Answer{status: http.StatusBadGateway, reason: outcome.Reason()}
+	case dispatch.TimedOut:
+		answer = Answer{status: http.StatusGatewayTimeout, reason: outcome.Reason()}
+	case dispatch.Gone:
+		answer = Answer{status: statusCallerLeft, gone: true}
+	}
+	c.finish(answer, outcome.Kind().String())
+}
+
+// statusCallerLeft is only counted; nobody reads it.
+const statusCallerLeft = 499
+
+// passOn returns a replica's answer. A success without proof, and a status that
+// promises that the request has not run, are not passed on.
+func passOn(reply *exchange.Reply) Answer {
+	status := reply.Status()
+	switch {
+	case status < http.StatusMultipleChoices && (reply.Seal() == "" || reply.Header().Get("Content-Encoding") != ""),
+		status == http.StatusServiceUnavailable, status == http.StatusTooManyRequests,
+		status == http.StatusRequestTimeout, status == http.StatusMisdirectedRequest:
+		return Answer{status: http.StatusBadGateway, reason: "the replica's answer cannot be passed on"}
+	}
+	return Answer{status: status, reply: reply}
+}
+
+func (c *call) finish(answer Answer, outcome string) {
+	e := c.engine
+	c.finished = true
+	delete(e.running, c)
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+	now := e.parts.Clock.Now()
+	e.parts.Meter.Finished(c.route.Name(), outcome, answer.status, answer.missing, now-c.began)
+	c.done <- answer
+}
+
--- /dev/null
+++ b/entry/routing/facts.go
@@ -0,0 +1,88 @@
+package routing
+
+import (
+	"slices"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/replica"
+	"github.com/lovagegap/lovagegap/core/route"
+)
+
+// Fact is something that the platform's store says. Exactly one of its parts is
+// set.
+type Fact struct {
+	// Table is a version of the configuration.
+	Table *route.Table
+	// Out is a data centre that is taken out, In one that is taken back.
+	Out, In string
+	// Replica is an entry of the list of replicas.
+	Replica *replica.Entry
+	// Gone is the id of a replica that left the list or whose entry cannot be
+	// used.
+	Gone string
+}
+
+// Learn takes facts in the order in which they became true. A configuration
+// that is not newer than the one in force changes nothing.
+func (e *Engine) Learn(facts []Fact) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.parts.Clock.Now()
+	for _, fact := range facts {
+		switch {
+		case fact.Table != nil:
+			e.adopt(fact.Table)
+		case fact.Out != "":
+			e.out[fact.Out] = true
+			e.setOut("out", fact.Out)
+		case fact.In != "":
+			delete(e.out, fact.In)
+			e.setOut("in", fact.In)
+		case fact.Replica != nil:
+			e.put(now, *fact.Replica)
+		case fact.Gone != "":
+			e.set.Drop(fact.Gone)
+		}
+	}
+}
+
+func (e *Engine) put(now clock.Millis, entry replica.Entry) { e.set.Put(now, entry) }
+
+func (e *Engine) adopt(table *route.Table) {
+	if e.table != nil && table.Version() <= e.table.Version() {
+		return
+	}
+	e.table = table
+	for name, service := range table.Services() {
+		e.set.Pool(name).Configure(service.Connections(), service.WarmupRate())
+	}
+	e.parts.Log.Info("configuration in force", "version", table.Version(), "routes", table.Routes())
+}
+
+func (e *Engine) setOut(change, dataCentre string) {
+	out := make([]string, 0, len(e.out))
+	for name := range e.out {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	e.set.SetOut(out)
+	e.parts.Log.Info("data centre "+change, "dataCentre", dataCentre)
+}
+
+// SetDaemons sets the number of daemons over which fleet-wide limits are
+// divided.
+func (e *Engine) SetDaemons(count int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.set.SetDaemons(count)
+}
+
+// Version returns the version of the configuration in force, or 0.
+func (e *Engine) Version() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.table == nil {
+		return 0
+	}
+	return e.table.Version()
+}
--- /dev/null
+++ b/entry/routing/routing.go
@@ -0,0 +1,212 @@
+// Package routing runs callers' requests on the routes of the configuration.
+//
+// The decisions are taken by package dispatch of the core. The engine holds
+// what its state machines share (the configuration in force, the replicas and
+// the evidence about them) under one lock, and carries out their actions
+// outside of it.
+//
+// # Usage
+//
+//	e := routing.New(routing.Parts{…})
+//	e.Learn(facts)                          // from the platform's store
+//	answer := e.Do(ctx, routing.Request{…}) // one goroutine for each request
+package routing
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+
+	"github.com/go-logr/logr"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/dispatch"
+	"github.com/lovagegap/lovagegap/core/replica"
+	"github.com/lovagegap/lovagegap/core/route"
+	"github.com/lovagegap/lovagegap/core/topk"
+	"github.com/lovagegap/lovagegap/entry/exchange"
+)
+
+// Parts are what an engine is built from.
+type Parts struct {
+	Clock      clock.Clock
+	Log        logr.Logger
+	DataCentre string
+	Names      exchange.Names
+	Random     *rand.Rand
+	Budget     replica.BudgetPolicy
+	Meter      Meter
+}
+
+// Meter counts what the engine does. Its methods are called under the lock of
+// the engine.
+type Meter interface {
+	Sent(route, service, purpose string)
+	Ended(service, result string)
+	Finished(route, outcome string, status, missing int, latency clock.Millis)
+}
+
+// Engine runs requests. It is safe for concurrent use.
+type Engine struct {
+	parts  Parts
+	client *exchange.Client
+
+	mu       sync.Mutex
+	table    *route.Table
+	set      *replica.Set
+	out      map[string]bool
+	profiles map[string]*dispatch.Profile
+	running  map[*call]struct{}
+	stopAt   clock.Millis // instant at which the daemon ends, or 0
+}
+
+// New returns an engine without a configuration.
+func New(parts Parts) *Engine {
+	return &Engine{
+		parts:    parts,
+		client:   exchange.NewClient(parts.Clock, parts.Names),
+		set:      replica.NewSet(parts.DataCentre, parts.Random, parts.Budget),
+		out:      make(map[string]bool),
+		profiles: make(map[string]*dispatch.Profile),
+		running:  make(map[*call]struct{}),
+	}
+}
+
+// Request is a request of a caller, read completely.
+type Request struct {
+	ID       string
+	Method   string
+	Target   string // as in the request line
+	Path     string // without the query
+	Host     string
+	Header   http.Header // without headers of one connection
+	Body     []byte
+	Deadline clock.Millis // time left for the caller, or 0 if it named none
+}
+
+// Answer is what a caller gets.
+type Answer struct {
+	status     int
+	reply      *exchange.Reply
+	body       []byte
+	seals      []string
+	missing    int
+	retryAfter clock.Millis
+	reason     string
+	gone       bool
+}
+
+// Status returns the status code.
+func (a Answer) Status() int { return a.status }
+
+// Reply returns the replica's answer that is passed on unchanged, or nil.
+func (a Answer) Reply() *exchange.Reply { return a.reply }
+
+// Body returns the merged records of an answer over many shards.
+func (a Answer) Body() []byte { return a.body }
+
+// Seals returns the proofs of the parts of an answer over many shards.
+func (a Answer) Seals() []string { return a.seals }
+
+// Missing returns how many shards are left out.
+func (a Answer) Missing() int { return a.missing }
+
+// RetryAfter returns when a refused request may be sent again, or 0.
+func (a Answer) RetryAfter() clock.Millis { return a.retryAfter }
+
+// Reason says in a few words why there is no answer of a replica.
+func (a Answer) Reason() string { return a.reason }
+
+// Gone reports whether the caller left.
+func (a Answer) Gone() bool { return a.gone }
+
+func refusal(status int, reason string, after clock.Millis) Answer {
+	return Answer{status: status, reason: reason, retryAfter: after}
+}
+
+const (
+	startingRetry = 400 * clock.Millisecond
+	leavingRetry  = 50 * clock.Millisecond
+)
+
+// Limits returns the limits of callers in force, and whether there is a
+// configuration.
+func (e *Engine) Limits() (route.Limits, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.table == nil {
+		return route.Limits{}, false
+	}
+	return e.table.Limits(), true
+}
+
+// Admit finds the route of a request before its body is read. The answer tells
+// why the request cannot be served.
+func (e *Engine) Admit(host, path string) (*route.Route, Answer) {
+	e.mu.Lock()
+	table := e.table
+	e.mu.Unlock()
+	if table == nil {
+		return nil, refusal(http.StatusServiceUnavailable, "no configuration is known yet", startingRetry)
+	}
+	r, ok := table.Match(host, path)
+	if !ok {
+		return nil, refusal(http.StatusNotFound, "no route", 0)
+	}
+	return r, Answer{}
+}
+
+// Do runs a request on a route that Admit returned. It returns when there is an
+// answer or ctx ends because the caller left.
+func (e *Engine) Do(ctx context.Context, r *route.Route, request Request) Answer {
+	c := &call{engine: e, request: request, route: r, done: make(chan Answer, 1)}
+	c.start()
+	select {
+	case answer := <-c.done:
+		return answer
+	case <-ctx.Done():
+		c.cancel()
+		return <-c.done
+	}
+}
+
+// StopAt says when the daemon ends. Requests that cannot end before are refused,
+// and those that still run then are answered just before.
+func (e *Engine) StopAt(at clock.Millis) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stopAt = at
+}
+
+// Running returns the number of requests without an answer.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.running)
+}
+
+// Close closes the connections to replicas.
+func (e *Engine) Close() { e.client.Close() }
+
+// profile returns the latencies of a route. The caller holds the lock.
+func (e *Engine) profile(r *route.Route) *dispatch.Profile {
+	p := e.profiles[r.Name()]
+	if p == nil {
+		p = &dispatch.Profile{}
+		e.profiles[r.Name()] = p
+	}
+	return p
+}
+
+// merge returns the answer over the shards that are in.
+func merge(r *route.Route, parts []*exchange.Reply, missing int) Answer {
+	var records topk.Merger
+	answer := Answer{status: http.StatusOK, missing: missing, seals: make([]string, len(parts))}
+	for i, part := range parts {
+		records.Add(part.Body())
+		answer.seals[i] = part.Seal()
+	}
+	answer.body = records.Greatest(r.TopK())
+	return answer
+}
--- a/lovagegapd/internal/upstreams/socket_linux.go
+++ b/entry/socket/socket_linux.go
@@ -1,4 +1,4 @@
-package upstreams
+package socket
 
 import (
 	"syscall"
@@ -6,37 +6,37 @@
 	"golang.org/x/sys/unix"
 )
 
-// setUserTimeout ends a connection whose sent bytes stay unacknowledged. A
+// SetUserTimeout, as the Control of a net.Dialer, ends a connection whose sent bytes stay unacknowledged. A
 // failure to set it is not an error: exchanges have deadlines of their own.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+func SetUserTimeout(_, _ string, raw syscall.RawConn) error {
 	return raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UserTimeout.Milliseconds()))
 	})
 }
 
-// newProbe returns a function that looks at a socket without reading from it.
+// NewProbe returns a function that looks at a socket without reading from it.
 // It is built once for each connection, since the closures would otherwise be
 // allocated for each exchange.
-func newProbe(raw syscall.RawConn) func() state {
+func NewProbe(raw syscall.RawConn) func() State {
 	var fds [1]unix.PollFd
-	var found state
+	var found State
 	poll := func(fd uintptr) {
 		fds[0] = unix.PollFd{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}
 		n, err := unix.Poll(fds[:], 0)
 		switch {
 		case err != nil:
-			found = unread
+			found = Unread
 		case n == 0:
-			found = quiet
+			found = Quiet
 		case fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0:
-			found = ended
+			found = Ended
 		default:
-			found = unread
+			found = Unread
 		}
 	}
-	return func() state {
+	return func() State {
 		if raw.Control(poll) != nil {
-			return ended
+			return Ended
 		}
 		return found
 	}
--- a/lovagegapd/internal/telemetry/telemetry_test.go
+++ b/entry/telemetry/telemetry_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/telemetry"
+	"github.com/lovagegap/lovagegap/entry/telemetry"
 )
 
 func read(t *testing.T, m *telemetry.Telemetry) map[string]map[string]any {
--- a/lovagegapd/internal/upstreams/conn.go
+++ b/entry/upstreams/conn.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/entry/socket"
 )
 
 const (
@@ -28,19 +29,10 @@
 // past is a deadline that ends reads and writes at once.
 var past = time.Unix(1, 0)
 
-// state is what an idle connection looks like.
-type state int
-
-const (
-	quiet  state = iota // open, with nothing to read
-	unread              // a reply has arrived that belongs to no exchange
-	ended               // closed by the upstream
-)
-
 // conn is a connection to an upstream. One exchange uses it at a time.
 type conn struct {
 	net.Conn
-	probe     func() state
+	probe     func() socket.State
 	limited   io.LimitedReader
 	reader    *bufio.Reader
 	idleSince clock.Millis
@@ -57,7 +49,7 @@
 		_ = inner.Close()
 		return nil, err
 	}
-	c := &conn{Conn: inner, probe: newProbe(raw), limited: io.LimitedReader{R: inner}}
+	c := &conn{Conn: inner, probe: socket.NewProbe(raw), limited: io.LimitedReader{R: inner}}
 	c.reader = bufio.NewReaderSize(&c.limited, readBuffer)
 	return c, nil
 }
--- a/lovagegapd/internal/upstreams/exchange_test.go
+++ b/entry/upstreams/exchange_test.go
@@ -16,7 +16,8 @@
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/upstream"
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/benchtime"
+	"github.com/lovagegap/lovagegap/entry/socket"
+	"github.com/lovagegap/lovagegap/entry/benchtime"
 )
 
 const (
@@ -234,7 +235,7 @@
 	require.Equal(t, upstream.OK, kind(client, newExchange(s.id(), "q1/0", ample)))
 	s.closeAll()
 	p := client.pool(s.id())
-	require.Eventually(t, func() bool { return p.idle[0].probe() == ended }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return p.idle[0].probe() == socket.Ended }, 5*time.Second, time.Millisecond)
 	require.Equal(t, upstream.Stale, kind(client, newExchange(s.id(), "q2/0", ample)))
 	require.Equal(t, upstream.Stale, kind(client, newExchange(s.id(), "q3/0", ample)), "chosen before the end was told")
 	requests, connections := s.seen()
--- a/lovagegapd/internal/upstreams/pool.go
+++ b/entry/upstreams/pool.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagegap/lovagegap/core/upstream"
+	"github.com/lovagegap/lovagegap/entry/socket"
 )
 
 // errNoPlace means that the limit leaves no connection for the exchange.
@@ -147,12 +148,12 @@
 		p.idle = p.idle[:len(p.idle)-1]
 		found := c.probe()
 		switch {
-		case found == ended:
+		case found == socket.Ended:
 			// The upstream does not count it any more.
 			_ = c.Close()
 			p.places--
 			p.stale.found = len(p.idle) == 0
-		case found == quiet && now-c.idleSince < age:
+		case found == socket.Quiet && now-c.idleSince < age:
 			c.reused = true
 			return c
 		default:
--- a/lovagegapd/internal/upstreams/upstreams.go
+++ b/entry/upstreams/upstreams.go
@@ -28,6 +28,7 @@
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/upstream"
+	"github.com/lovagegap/lovagegap/entry/socket"
 )
 
 const (
@@ -37,9 +38,6 @@
 	// connection is the least with which the upstream can be used at all.
 	defaultLimit = 1
 	keepAlive    = 5 * time.Second
-	// userTimeout bounds how long sent bytes may stay unacknowledged. A
-	// connection through a middlebox that lost its state ends then.
-	userTimeout = 10 * time.Second
 	// closeGrace is how long a closed connection still counts against the cap.
 	// The upstream sees the end about 1 ms later and would refuse a new
 	// connection that arrives first.
@@ -159,6 +157,6 @@
 	return net.Dialer{
 		Timeout:         time.Duration(c.dial.Load()),
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlive, Interval: keepAlive, Count: 2},
-		Control:         setUserTimeout,
+		Control:         socket.SetUserTimeout,
 	}
 }
--- a/lovagegap-standin/bench/variant.go
+++ b/lovagegap-standin/bench/variant.go
@@ -48,7 +48,7 @@
 )
 
 const (
-	// hedgeRounds is the constant of lovagegapd/internal/engine.
+	// hedgeRounds is the constant of entry/engine.
 	hedgeRounds = 8
 
 	never      = 1 << 30
--- a/lovagegapd/main.go
+++ b/lovagegapd/main.go
@@ -17,7 +17,7 @@
 	"github.com/go-logr/stdr"
 	"github.com/jessevdk/go-flags"
 
-	"github.com/lovagegap/lovagegap/lovagegapd/internal/daemon"
+	"github.com/lovagegap/lovagegap/entry/daemon"
 )
 
 // Exit codes.
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -24,8 +24,8 @@
 echo "## Cost of a sub-request (loopback)"
 echo
 echo '```'
-gobench ./lovagegapd/internal/engine 'FanOut|Standins' 200x -cpu 1,4
-gobench ./lovagegapd/internal/upstreams 'Exchange' 5000x
+gobench ./entry/engine 'FanOut|Standins' 200x -cpu 1,4
+gobench ./entry/upstreams 'Exchange' 5000x
 gobench ./core/query 'Query' 1000x
 gobench ./core/upstream 'PickDone|SetMembers' 200ms
 gobench ./core/quota '.' 200ms
@@ -37,7 +37,7 @@
 echo '```'
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-go test -c -o "$work/engine.test" ./lovagegapd/internal/engine
+go test -c -o "$work/engine.test" ./entry/engine
 "$work/engine.test" -test.run '^$' -test.bench 'BenchmarkFanOut' -test.benchtime 300x -test.cpu 1 \
 	-test.cpuprofile "$work/cpu.prof" >/dev/null
 go tool pprof -top -cum -nodecount 400 "$work/engine.test" "$work/cpu.prof" 2>/dev/null |
