--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -228,7 +228,7 @@
 	}
 	switch {
 	case result == replica.OK:
-		q.cover(now, a.shard, number)
+		q.cover(a.shard, number)
 	case result == replica.Failed:
 		s.reply = number
 		fallthrough
@@ -238,16 +238,16 @@
 	return q.settle(now)
 }
 
-func (q *Request) cover(now clock.Millis, i, number int) {
+func (q *Request) cover(i, number int) {
 	s := &q.shards[i]
 	s.winner = number
 	q.covered++
 	q.open--
-	q.drop(now, i)
+	q.drop(i)
 }
 
 // drop abandons the exchanges of a shard that is decided.
-func (q *Request) drop(now clock.Millis, i int) {
+func (q *Request) drop(i int) {
 	if q.shards[i].pending == 0 {
 		return
 	}
@@ -409,7 +409,7 @@
 			q.nextWake = min(q.nextWake, s.hedgeAt)
 		}
 	}
-	return q.flush(now)
+	return q.flush()
 }
 
 func (q *Request) answer(now clock.Millis, reason string) []Action {
@@ -490,7 +490,7 @@
 
 // flush returns the collected actions, with a Wake if the one that is
 // outstanding comes too late.
-func (q *Request) flush(clock.Millis) []Action {
+func (q *Request) flush() []Action {
 	if q.nextWake < q.wakeAt {
 		q.wakeAt = q.nextWake
 		q.actions = append(q.actions, Action{kind: Wake, at: q.wakeAt})
--- a/entry/daemon/faults_test.go
+++ b/entry/daemon/faults_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/lovagegap/lovagegap/lovagegap-standin/upstreams"
 	"github.com/lovagegap/lovagegap/entry/operators"
+	"github.com/lovagegap/lovagegap/lovagegap-standin/upstreams"
 )
 
 // Guards against an overload of upstreams that fall back into a cold start, one
--- a/entry/daemon/harness_test.go
+++ b/entry/daemon/harness_test.go
@@ -25,10 +25,10 @@
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/settings"
+	"github.com/lovagegap/lovagegap/entry/operators"
 	"github.com/lovagegap/lovagegap/lovagegap-standin/deployment"
 	"github.com/lovagegap/lovagegap/lovagegap-standin/platform"
 	"github.com/lovagegap/lovagegap/lovagegap-standin/upstreams"
-	"github.com/lovagegap/lovagegap/entry/operators"
 )
 
 const (
--- a/entry/platform/platform_test.go
+++ b/entry/platform/platform_test.go
@@ -12,9 +12,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lovagegap/lovagegap/core/clock"
-	standin "github.com/lovagegap/lovagegap/lovagegap-standin/platform"
 	"github.com/lovagegap/lovagegap/entry/platform"
 	"github.com/lovagegap/lovagegap/entry/platform/platformtest"
+	standin "github.com/lovagegap/lovagegap/lovagegap-standin/platform"
 )
 
 // port is the contract that the client and the fake share.
--- a/entry/routing/call.go
+++ b/entry/routing/call.go
@@ -172,4 +172,3 @@
 	e.parts.Meter.Finished(c.route.Name(), outcome, answer.status, answer.missing, now-c.began)
 	c.done <- answer
 }
-
--- a/entry/socket/socket_linux.go
+++ b/entry/socket/socket_linux.go
@@ -6,7 +6,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// SetUserTimeout, as the Control of a net.Dialer, ends a connection whose sent bytes stay unacknowledged. A
+// SetUserTimeout is the Control of a net.Dialer that ends a connection whose
+// sent bytes stay unacknowledged. A
 // failure to set it is not an error: exchanges have deadlines of their own.
 func SetUserTimeout(_, _ string, raw syscall.RawConn) error {
 	return raw.Control(func(fd uintptr) {
--- a/entry/upstreams/exchange_test.go
+++ b/entry/upstreams/exchange_test.go
@@ -16,8 +16,8 @@
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/upstream"
-	"github.com/lovagegap/lovagegap/entry/socket"
 	"github.com/lovagegap/lovagegap/entry/benchtime"
+	"github.com/lovagegap/lovagegap/entry/socket"
 )
 
 const (
