--- a/core/dispatch/action.go
+++ b/core/dispatch/action.go
@@ -14,7 +14,7 @@
 	// also after the request has finished.
 	Send ActionKind = iota
 	// Abandon says that the answer of an exchange is no longer wanted. Its
-	// connection may be kept if the answer still comes within Linger.
+	// connection is closed, so that the replica drops the request.
 	Abandon
 	// Wake calls Tick at the instant At. It replaces the Wake before it.
 	Wake
@@ -64,9 +64,6 @@
 // At returns the instant of a Wake, or the deadline of a Send.
 func (a Action) At() clock.Millis { return a.at }
 
-// Linger returns how long the answer of an abandoned exchange may still take.
-func (a Action) Linger() clock.Millis { return a.at }
-
 // Outcome returns the outcome of a Finish.
 func (a Action) Outcome() Outcome { return a.outcome }
 
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -26,7 +26,7 @@
 
 const (
 	// hedgeFactor times the expected latency is when an answer counts as late.
-	hedgeFactor = 2.2
+	hedgeFactor = 2.6
 	minHedge    = 6 * clock.Millisecond
 	// recheck is the time until a hedge or a retry that found no replica or no
 	// budget is tried again.
@@ -53,6 +53,8 @@
 type Resources struct {
 	Set     *replica.Set
 	Profile *Profile
+	Gate    *Gate
+	Later   bool    // whether a more urgent route shares the services
 	Draw    float64 // uniform in [0, 1): chooses between the services of a split
 }
 
@@ -60,11 +62,14 @@
 type Request struct {
 	route    *route.Route
 	profile  *Profile
+	gate     *Gate
+	later    bool
 	began    clock.Millis
 	cut      clock.Millis // from here on an answer need not be complete
 	final    clock.Millis // from here on there is no time for an answer
 	deadline clock.Millis
 	expected clock.Millis
+	work     clock.Millis // time for which an exchange occupies a slot
 
 	shards   []shard
 	attempts []attempt
@@ -105,10 +110,12 @@
 func New(now clock.Millis, r *route.Route, deadline clock.Millis, res Resources) *Request {
 	deadline = min(deadline, now+r.Timeout())
 	q := &Request{
-		route: r, profile: res.Profile, began: now, deadline: deadline, wakeAt: never,
+		route: r, profile: res.Profile, gate: res.Gate, later: res.Later,
+		began: now, deadline: deadline, wakeAt: never,
 		cut:      now + r.Objective() - max(minCut, r.Objective()*cutShare),
 		final:    deadline - min(finalMargin, (deadline-now)/8),
 		expected: res.Profile.Expected(r.Objective()),
+		work:     res.Profile.Work(r.Objective()),
 	}
 	services := r.Shards()
 	if services == nil {
@@ -144,6 +151,9 @@
 	if !q.servable(now) {
 		return q.refuse(now, "too few shards have a replica")
 	}
+	if ok, after := q.admitted(now); !ok {
+		return q.finish(Outcome{kind: Refused, retryAfter: min(maxRetryAfter, max(minRetryAfter, after)), reason: "too much work is waiting"})
+	}
 	for i := range q.shards {
 		q.first(now, i)
 	}
@@ -193,7 +203,7 @@
 	s.tried = append(s.tried, r)
 	s.pending++
 	s.hedgeAt = now + max(minHedge, q.expected*hedgeFactor)
-	r.Begin(now)
+	r.Begin(now, q.work)
 	q.attempts = append(q.attempts, attempt{shard: i, replica: r, began: now})
 	q.actions = append(q.actions, Action{
 		kind: Send, attempt: len(q.attempts) - 1, shard: i, purpose: purpose, replica: r, at: q.deadline,
@@ -210,7 +220,7 @@
 	a.ended = true
 	a.replica.End(now, a.began, result, q.expected)
 	if result == replica.OK {
-		q.profile.Add(now - a.began)
+		q.profile.Add(now, now-a.began)
 	}
 	if a.dropped || q.finished {
 		return nil
@@ -258,7 +268,7 @@
 		}
 		a.dropped = true
 		q.shards[i].pending--
-		q.actions = append(q.actions, Action{kind: Abandon, attempt: number, at: q.expected})
+		q.actions = append(q.actions, Action{kind: Abandon, attempt: number})
 	}
 }
 
@@ -366,6 +376,9 @@
 	if now+q.expected/2 > q.final {
 		return
 	}
+	if q.crowded(now, s) {
+		return
+	}
 	r, err := q.pick(now, s)
 	if err != nil || r.Overdue(now, q.expected) || !s.pool.Budget().Take(now, q.reserve(now)) {
 		return
@@ -383,7 +396,7 @@
 	if q.finished {
 		return nil
 	}
-	return q.finish(now, Outcome{kind: Gone, reason: "the caller has gone"})
+	return q.finish(Outcome{kind: Gone, reason: "the caller has gone"})
 }
 
 // settle decides after each event whether the request goes on.
@@ -391,9 +404,9 @@
 	needed := q.needed()
 	switch {
 	case q.open == 0 && q.covered >= needed:
-		return q.answer(now, "all shards are decided")
+		return q.answer("all shards are decided")
 	case q.covered >= needed && now >= min(q.cut, q.final):
-		return q.answer(now, "the objective is near")
+		return q.answer("the objective is near")
 	case q.covered+q.open < needed:
 		return q.giveUp(now, "too few shards can answer")
 	case now >= q.final:
@@ -412,9 +425,9 @@
 	return q.flush()
 }
 
-func (q *Request) answer(now clock.Millis, reason string) []Action {
+func (q *Request) answer(reason string) []Action {
 	if q.route.Shards() == nil {
-		return q.finish(now, Outcome{kind: Answered, attempt: q.shards[0].winner, reason: reason})
+		return q.finish(Outcome{kind: Answered, attempt: q.shards[0].winner, reason: reason})
 	}
 	outcome := Outcome{kind: Gathered, parts: make([]int, 0, q.covered), reason: reason}
 	for i := range q.shards {
@@ -424,7 +437,7 @@
 			outcome.missing = append(outcome.missing, s.pool.Service())
 		}
 	}
-	return q.finish(now, outcome)
+	return q.finish(outcome)
 }
 
 // giveUp ends a request that no replica can answer any more.
@@ -433,16 +446,16 @@
 		return q.refuse(now, reason)
 	}
 	if q.route.Shards() == nil && q.shards[0].reply >= 0 {
-		return q.finish(now, Outcome{kind: Answered, attempt: q.shards[0].reply, reason: "the replica failed"})
+		return q.finish(Outcome{kind: Answered, attempt: q.shards[0].reply, reason: "the replica failed"})
 	}
-	return q.finish(now, Outcome{kind: Unavailable, reason: reason})
+	return q.finish(Outcome{kind: Unavailable, reason: reason})
 }
 
 func (q *Request) timeOut(now clock.Millis) []Action {
 	if !q.ran() {
 		return q.refuse(now, "no replica took it in time")
 	}
-	return q.finish(now, Outcome{kind: TimedOut, reason: "the time ran out"})
+	return q.finish(Outcome{kind: TimedOut, reason: "the time ran out"})
 }
 
 // ran reports whether a replica may have run the request or may do so yet.
@@ -465,24 +478,20 @@
 			after = min(after, s.pool.RoomIn(now, q.expected))
 		}
 	}
-	return q.finish(now, Outcome{kind: Refused, retryAfter: max(minRetryAfter, after), reason: reason})
+	return q.finish(Outcome{kind: Refused, retryAfter: max(minRetryAfter, after), reason: reason})
 }
 
-func (q *Request) finish(now clock.Millis, outcome Outcome) []Action {
+func (q *Request) finish(outcome Outcome) []Action {
 	q.finished = true
 	q.actions = append(q.actions, Action{kind: Finish, outcome: outcome})
-	linger := q.expected
-	if outcome.kind == Gone {
-		if !q.route.Idempotent() {
-			return q.take()
-		}
-		linger = 0
+	if outcome.kind == Gone && !q.route.Idempotent() {
+		return q.take()
 	}
 	for number := range q.attempts {
 		a := &q.attempts[number]
 		if !a.ended && !a.dropped {
 			a.dropped = true
-			q.actions = append(q.actions, Action{kind: Abandon, attempt: number, at: linger})
+			q.actions = append(q.actions, Action{kind: Abandon, attempt: number})
 		}
 	}
 	return q.take()
--- a/core/dispatch/profile.go
+++ b/core/dispatch/profile.go
@@ -17,6 +17,7 @@
 	profileRefresh = 16
 	// priorShare of the objective is the expected latency before any answer.
 	priorShare = 0.125
+	baseSpan   = 30 * clock.Second
 )
 
 // Profile is the recent latency of the exchanges of one route. The zero value
@@ -26,11 +27,13 @@
 	total   float32
 	added   int
 	median  clock.Millis
+	base    clock.Millis // low quantile that rises slowly
+	baseAt  clock.Millis
 	pending int
 }
 
 // Add records the latency of an answer.
-func (p *Profile) Add(latency clock.Millis) {
+func (p *Profile) Add(now, latency clock.Millis) {
 	bucket := 0
 	if latency > profileLowest {
 		bucket = int(math.Log(float64(latency/profileLowest)) / math.Log(profileBase))
@@ -48,10 +51,31 @@
 	p.pending++
 	if p.pending >= profileRefresh || p.added <= profileEnough*2 {
 		p.median = p.quantile(0.5)
+		p.settle(now, p.quantile(0.3))
 		p.pending = 0
 	}
 }
 
+// settle moves the base: down at once, up slowly, so that a queue that lasts
+// for seconds is not taken for work.
+func (p *Profile) settle(now, low clock.Millis) {
+	if p.base == 0 || low < p.base {
+		p.base = low
+	} else {
+		p.base += (low - p.base) * min(1, (now-p.baseAt)/baseSpan)
+	}
+	p.baseAt = now
+}
+
+// Work returns how long an exchange occupies a slot, without the time that it
+// waits for one.
+func (p *Profile) Work(objective clock.Millis) clock.Millis {
+	if p.added < profileEnough {
+		return objective * priorShare
+	}
+	return p.base
+}
+
 // Expected returns the usual latency, on a route with the given objective.
 func (p *Profile) Expected(objective clock.Millis) clock.Millis {
 	if p.added < profileEnough {
--- a/core/replica/pick.go
+++ b/core/replica/pick.go
@@ -11,7 +11,7 @@
 	farTrip = 2 * clock.Millisecond
 	// queueFactor is what an unanswered request adds below the slots, for the
 	// requests of other daemons that this one does not see.
-	queueFactor = 0.12
+	queueFactor = 0.4
 	failFactor  = 8.0
 	shedFactor  = 3.0
 	coldFactor  = 0.6
@@ -110,7 +110,7 @@
 func (p *Pool) Usable(now clock.Millis) int {
 	n := 0
 	for _, r := range p.replicas {
-		if !r.entry.Draining() && now >= r.retryAt && !slices.Contains(p.set.out, r.entry.DataCentre()) {
+		if r.usable(now) {
 			n++
 		}
 	}
--- a/core/replica/pool.go
+++ b/core/replica/pool.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -130,6 +131,9 @@
 	connections int
 	warmupRate  float64
 	budget      quota.Window
+	work        clock.Millis // of this daemon's unanswered exchanges
+	usual       clock.Millis // work, smoothed
+	workAt      clock.Millis
 }
 
 // Configure sets the fleet-wide limits of each replica: the connections that it
@@ -158,6 +162,45 @@
 
 const unlimitedConnections = 1 << 10
 
+// usualSpan is the time over which this daemon's work is averaged to stand for
+// that of another daemon.
+const usualSpan = 150 * clock.Millisecond
+
+// addWork counts work at the replicas, or its end if it is negative.
+func (p *Pool) addWork(now, work clock.Millis) {
+	p.settleWork(now)
+	p.work = max(0, p.work+work)
+}
+
+func (p *Pool) settleWork(now clock.Millis) {
+	if now > p.workAt {
+		p.usual += (p.work - p.usual) * clock.Millis(1-math.Exp(-float64((now-p.workAt)/usualSpan)))
+		p.workAt = now
+	}
+}
+
+// Backlog estimates how long a new request waits for a slot: the work at the
+// replicas over their slots. This daemon knows its own work; for each other
+// daemon it takes its own usual one.
+func (p *Pool) Backlog(now clock.Millis) clock.Millis {
+	p.settleWork(now)
+	work := p.work + p.usual*clock.Millis(p.set.daemons-1)
+	if work <= 0 {
+		return 0
+	}
+	slots := 0.0
+	for _, r := range p.replicas {
+		if r.usable(now) {
+			slots += float64(r.entry.Slots()) / max(1, r.slowness(now))
+		}
+	}
+	return work / clock.Millis(max(slots, 0.5))
+}
+
+func (r *Replica) usable(now clock.Millis) bool {
+	return !r.entry.Draining() && now >= r.retryAt && !slices.Contains(r.pool.set.out, r.entry.DataCentre())
+}
+
 // coldInterval returns the time between two requests of this daemon to one
 // cold replica, so that all daemons together keep to the rate.
 func (p *Pool) coldInterval() clock.Millis {
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -142,7 +142,7 @@
 	pool    *Pool
 	removed bool
 
-	pending  []clock.Millis // starts of unanswered exchanges, oldest first
+	pending  []exchange // unanswered, oldest first
 	ratios   [samples]float64
 	sampled  int // ratios in use
 	next     int
@@ -161,6 +161,12 @@
 	coldNext  clock.Millis // earliest instant of the next request while cold
 }
 
+// exchange is an unanswered exchange.
+type exchange struct {
+	began clock.Millis
+	work  clock.Millis // time for which it occupies a slot
+}
+
 // Entry returns the replica as listed.
 func (r *Replica) Entry() Entry { return r.entry }
 
@@ -170,9 +176,11 @@
 // Cold reports whether the replica is in a cold start.
 func (r *Replica) Cold(now clock.Millis) bool { return now < r.coldUntil }
 
-// Begin counts an exchange. The instant identifies it for End.
-func (r *Replica) Begin(now clock.Millis) {
-	r.pending = append(r.pending, now)
+// Begin counts an exchange that occupies a slot for about the given time. The
+// instant identifies it for End.
+func (r *Replica) Begin(now, work clock.Millis) {
+	r.pending = append(r.pending, exchange{began: now, work: work})
+	r.pool.addWork(now, work)
 	if r.Cold(now) && r.pool.warmupRate > 0 {
 		r.coldNext = now + r.pool.coldInterval()
 	}
@@ -181,7 +189,8 @@
 // End takes the end of the exchange that began at the instant began. Expected
 // is the usual latency of such a request.
 func (r *Replica) End(now, began clock.Millis, result Result, expected clock.Millis) {
-	if i := slices.Index(r.pending, began); i >= 0 {
+	if i := slices.IndexFunc(r.pending, func(x exchange) bool { return x.began == began }); i >= 0 {
+		r.pool.addWork(now, -r.pending[i].work)
 		r.pending = slices.Delete(r.pending, i, i+1)
 	}
 	switch result {
@@ -270,7 +279,7 @@
 	if len(r.pending) == 0 {
 		return 0
 	}
-	age := now - r.pending[0]
+	age := now - r.pending[0].began
 	if age < max(minOverdue, expected*clock.Millis(overdueFactor*max(1, r.slowness(now)))) {
 		return 0
 	}
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -111,6 +111,21 @@
 // Services returns the services by name. The map must not be changed.
 func (t *Table) Services() map[string]Service { return t.services }
 
+// Urgent returns the highest priority among the routes of each service.
+func (t *Table) Urgent() map[string]int {
+	urgent := make(map[string]int, len(t.services))
+	for _, routes := range t.hosts {
+		for _, r := range routes {
+			for _, service := range r.Services() {
+				if known, ok := urgent[service]; !ok || r.Priority() < known {
+					urgent[service] = r.Priority()
+				}
+			}
+		}
+	}
+	return urgent
+}
+
 // Match returns the route with the longest prefix that begins the path.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
--- a/entry/exchange/exchange.go
+++ b/entry/exchange/exchange.go
@@ -11,7 +11,7 @@
 //	client := exchange.NewClient(clock.Clock{}, exchange.Names{…})
 //	x := client.New(exchange.Spec{…})
 //	reply, result := x.Run()     // blocks; one goroutine for each exchange
-//	x.Abandon(25*clock.Millisecond)
+//	x.Abandon()
 package exchange
 
 import (
@@ -77,21 +77,22 @@
 	mu        sync.Mutex
 	conn      *conn
 	abandoned bool
-	until     time.Time
 }
 
 // New returns an exchange that is not started.
 func (c *Client) New(spec Spec) *Exchange { return &Exchange{client: c, spec: spec} }
 
-// Abandon says that the answer is not wanted any more. An answer that comes
-// within linger saves the connection.
-func (x *Exchange) Abandon(linger clock.Millis) {
+// past is a deadline that ends reads and writes at once.
+var past = time.Unix(1, 0)
+
+// Abandon says that the answer is not wanted any more. The connection is
+// closed, so that the replica drops the request.
+func (x *Exchange) Abandon() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.abandoned = true
-	x.until = time.Now().Add(linger.Duration())
 	if x.conn != nil {
-		_ = x.conn.SetDeadline(x.until)
+		_ = x.conn.SetDeadline(past)
 	}
 }
 
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -56,6 +56,8 @@
 	membership *fleet.Membership
 	seeds      map[fleet.ID]bool
 	daemons    int
+	began      clock.Millis
+	joined     bool // whether the seeds had time to answer
 	serving    []fleet.Member
 }
 
@@ -63,13 +65,17 @@
 func New(parts Parts) *Roster {
 	return &Roster{
 		parts: parts, membership: fleet.New(parts.Self, parts.Random, nil),
-		seeds: make(map[fleet.ID]bool), daemons: 1,
+		seeds: make(map[fleet.ID]bool), daemons: 1, began: parts.Clock.Now(),
 	}
 }
 
 // Connect gives the roster its links. It must be called before Run.
 func (r *Roster) Connect(links Links) { r.links = links }
 
+// joinTime is how long the seeds count as daemons although they have not
+// answered yet.
+const joinTime = 5 * clock.Second
+
 // Run ticks the state machine until ctx ends.
 func (r *Roster) Run(ctx context.Context) {
 	ticker := time.NewTicker(fleet.TickInterval.Duration())
@@ -79,11 +85,19 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			r.do(r.membership.Tick)
+			r.do(r.tick)
 		}
 	}
 }
 
+func (r *Roster) tick(now clock.Millis) []fleet.Action {
+	if !r.joined && now >= r.began+joinTime {
+		r.joined = true
+		r.count()
+	}
+	return r.membership.Tick(now)
+}
+
 // do runs one step of the state machine and carries out its actions.
 func (r *Roster) do(step func(now clock.Millis) []fleet.Action) {
 	r.mu.Lock()
@@ -145,8 +159,8 @@
 }
 
 // count derives over how many daemons the limits are divided: all that may
-// still send, so also those that are suspected or leave. Before any peer has
-// answered, the seeds count.
+// still send, so also those that are suspected or leave, and shortly after the
+// start the seeds.
 func (r *Roster) count() {
 	present := 0
 	for _, m := range r.membership.Members() {
@@ -156,7 +170,7 @@
 			present++
 		}
 	}
-	if present == 1 {
+	if !r.joined {
 		present = max(present, len(r.seeds)+1)
 	}
 	if present != r.daemons {
--- a/entry/routing/call.go
+++ b/entry/routing/call.go
@@ -35,18 +35,16 @@
 	if c.request.Deadline > 0 {
 		deadline = min(deadline, now+c.request.Deadline)
 	}
-	profile := e.profile(c.route)
+	resources := e.resources(c.route)
 	if e.stopAt > 0 {
-		if now+profile.Expected(c.route.Objective())*2 > e.stopAt {
+		if now+resources.Profile.Expected(c.route.Objective())*2 > e.stopAt {
 			c.finish(refusal(http.StatusServiceUnavailable, "the daemon stops", leavingRetry), "refused")
 			return
 		}
 		deadline = min(deadline, e.stopAt)
 	}
 	e.running[c] = struct{}{}
-	c.state = dispatch.New(now, c.route, deadline, dispatch.Resources{
-		Set: e.set, Profile: profile, Draw: e.parts.Random.Float64(),
-	})
+	c.state = dispatch.New(now, c.route, deadline, resources)
 	c.perform(now, c.state.Start(now))
 }
 
@@ -57,7 +55,7 @@
 		case dispatch.Send:
 			c.send(action)
 		case dispatch.Abandon:
-			c.exchanges[action.Attempt()].Abandon(action.Linger())
+			c.exchanges[action.Attempt()].Abandon()
 		case dispatch.Wake:
 			c.wake(now, action.At())
 		case dispatch.Finish:
--- a/entry/routing/facts.go
+++ b/entry/routing/facts.go
@@ -53,6 +53,7 @@
 		return
 	}
 	e.table = table
+	e.urgent = table.Urgent()
 	for name, service := range table.Services() {
 		e.set.Pool(name).Configure(service.Connections(), service.WarmupRate())
 	}
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -57,6 +57,8 @@
 	set      *replica.Set
 	out      map[string]bool
 	profiles map[string]*dispatch.Profile
+	gates    map[string]*dispatch.Gate // by the first service of a route
+	urgent   map[string]int            // highest priority of the routes to a service
 	running  map[*call]struct{}
 	stopAt   clock.Millis // instant at which the daemon ends, or 0
 }
@@ -69,6 +71,7 @@
 		set:      replica.NewSet(parts.DataCentre, parts.Random, parts.Budget),
 		out:      make(map[string]bool),
 		profiles: make(map[string]*dispatch.Profile),
+		gates:    make(map[string]*dispatch.Gate),
 		running:  make(map[*call]struct{}),
 	}
 }
@@ -199,6 +202,21 @@
 	return p
 }
 
+// resources returns what the requests of a route share. The caller holds the
+// lock.
+func (e *Engine) resources(r *route.Route) dispatch.Resources {
+	service := r.Services()[0]
+	gate := e.gates[service]
+	if gate == nil {
+		gate = &dispatch.Gate{}
+		e.gates[service] = gate
+	}
+	return dispatch.Resources{
+		Set: e.set, Profile: e.profile(r), Gate: gate, Later: r.Priority() > e.urgent[service],
+		Draw: e.parts.Random.Float64(),
+	}
+}
+
 // merge returns the answer over the shards that are in.
 func merge(r *route.Route, parts []*exchange.Reply, missing int) Answer {
 	var records topk.Merger
