gateway: one daemon of a data centre reads the store, the others follow it and share observations

Now the daemon with the lowest address of a data centre reads; the others wait at it for news and tell it what they have observed; one that is silent or does not reach the store is left for 3 s.

--- a/core/mirror/reader.go
+++ b/core/mirror/reader.go
@@ -30,6 +30,15 @@
 	// askAfter is the silence of the store after which peers are asked.
 	askAfter = 1500 * clock.Millisecond
 	askPace  = 700 * clock.Millisecond
+
+	// A daemon that follows another one hears of a change as soon as that one
+	// does. One that is silent or does not reach the store itself is left for
+	// blameTime.
+	followWait  = 1400 * clock.Millisecond
+	followSlack = 400 * clock.Millisecond
+	followPace  = 200 * clock.Millisecond
+	maxAge      = 1600 * clock.Millisecond
+	blameTime   = 3 * clock.Second
 )
 
 // CallKind is a kind of read.
@@ -41,6 +50,8 @@
 	List CallKind = iota
 	// Watch waits for changes after a revision.
 	Watch
+	// Follow waits for changes at a daemon of the same data centre.
+	Follow
 )
 
 // Call is a read that is due.
@@ -51,6 +62,7 @@
 	after    uint64
 	wait     clock.Millis
 	timeout  clock.Millis
+	peer     string
 }
 
 // Kind returns what to read.
@@ -68,6 +80,9 @@
 // Wait returns how long a Watch may wait for a change.
 func (c Call) Wait() clock.Millis { return c.wait }
 
+// Peer returns the daemon that is followed.
+func (c Call) Peer() string { return c.peer }
+
 // Timeout returns after which time the call is given up.
 func (c Call) Timeout() clock.Millis { return c.timeout }
 
@@ -88,15 +103,37 @@
 	direct    clock.Millis // latest answer of the store
 	asked     clock.Millis
 	began     clock.Millis
+	sources   []string                // daemons to follow, the first one that is not blamed
+	blamed    map[string]clock.Millis // until when a source is left
 }
 
 // NewReader returns a reader that fills m, for a daemon that starts now.
 func NewReader(now clock.Millis, m *Mirror, random *rand.Rand) *Reader {
-	return &Reader{random: random, mirror: m, relist: true, began: now}
+	return &Reader{random: random, mirror: m, relist: true, began: now, blamed: make(map[string]clock.Millis)}
 }
 
-// Next returns the next read of the store.
+// SetSources names the daemons that may be followed, in order. Without one the
+// daemon reads the store itself.
+func (r *Reader) SetSources(peers []string) { r.sources = peers }
+
+// source returns the daemon to follow now.
+func (r *Reader) source(now clock.Millis) (string, bool) {
+	for _, peer := range r.sources {
+		if now >= r.blamed[peer] {
+			return peer, true
+		}
+	}
+	return "", false
+}
+
+// Next returns the next read.
 func (r *Reader) Next(now clock.Millis) Call {
+	if peer, ok := r.source(now); ok && !r.relist {
+		return Call{
+			kind: Follow, peer: peer, at: max(now, r.started+followPace), after: r.mirror.Revision(),
+			wait: followWait, timeout: followWait + followSlack,
+		}
+	}
 	if r.relist {
 		return Call{kind: List, at: max(now, r.retryAt), afterKey: r.afterKey, timeout: callTimeout}
 	}
@@ -177,6 +214,27 @@
 	return r.mirror.Apply(now, items, revision)
 }
 
+// Followed takes the reply of the daemon that is followed, and returns the
+// changes. One whose own knowledge is old is not followed for a while.
+func (r *Reader) Followed(now clock.Millis, peer string, items []Item, complete bool, revision uint64, age clock.Millis) []Item {
+	if revision == 0 || age > maxAge {
+		r.Blame(now, peer)
+	} else {
+		r.direct = max(r.direct, now-age)
+	}
+	return r.Told(now, items, complete, revision, age)
+}
+
+// Blame notes that a daemon that is followed did not answer.
+func (r *Reader) Blame(now clock.Millis, peer string) {
+	for known, until := range r.blamed {
+		if now >= until {
+			delete(r.blamed, known)
+		}
+	}
+	r.blamed[peer] = now + blameTime
+}
+
 // Age returns how old the knowledge of the store is.
 func (r *Reader) Age(now clock.Millis) clock.Millis {
 	return now - max(r.confirmed, r.began)
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -149,6 +149,7 @@
 	next     int
 	median   float64
 	sampleAt clock.Millis
+	heard    bool // whether the slowness is what a peer told
 
 	failing  float64
 	failedAt clock.Millis
@@ -245,7 +246,7 @@
 		r.keep(before)
 	}
 	r.keep(min(ratio, maxRatio))
-	r.sampleAt = now
+	r.sampleAt, r.heard = now, false
 	var sorted [samples]float64
 	copy(sorted[:], r.ratios[:r.sampled])
 	slices.Sort(sorted[:r.sampled])
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -122,7 +122,7 @@
 		uint64(time.Now().UnixMilli()))
 	g.roster = roster.New(roster.Parts{
 		Clock: ports.Clock, Log: g.log.WithName("roster"), Self: self, Random: derive(ports.Random),
-		Changed: g.engine.SetDaemons,
+		Changed: g.engine.SetDaemons, Sources: func(peers []string) { g.view.setSources(peers) },
 	})
 	g.hub = peers.New(peers.Control, peers.NewIdentity(config.Peers, self.Incarnation()),
 		[][]byte{config.Key}, g.roster, g.log.WithName("peers"))
--- a/entry/gateway/share.go
+++ b/entry/gateway/share.go
@@ -1,19 +1,22 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
+	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/mirror"
+	"github.com/lovagegap/lovagegap/core/replica"
 	"github.com/lovagegap/lovagegap/entry/codec"
 	"github.com/lovagegap/lovagegap/entry/peers"
 )
@@ -22,6 +25,8 @@
 	sharePath    = "/v1/mirror"
 	proofHeader  = "Lovagegap-Proof"
 	shareTimeout = time.Second
+	shareDial    = 400 * time.Millisecond
+	maxAsk       = 64 << 10
 	maxShare     = 64 << 20
 )
 
@@ -35,12 +40,45 @@
 	Removed  bool   `cbor:"4,keyasint,omitempty"`
 }
 
+// viewObservation is an observation of a replica between daemons.
+type viewObservation struct {
+	ID       string  `cbor:"1,keyasint"`
+	Slowness float32 `cbor:"2,keyasint"`
+	Failing  float32 `cbor:"3,keyasint"`
+}
+
+func toWire(observations []replica.Observation) []viewObservation {
+	wire := make([]viewObservation, len(observations))
+	for i, o := range observations {
+		wire[i] = viewObservation{ID: o.ID(), Slowness: float32(o.Slowness()), Failing: float32(o.Failing())}
+	}
+	return wire
+}
+
+func fromWire(wire []viewObservation) []replica.Observation {
+	observations := make([]replica.Observation, len(wire))
+	for i, o := range wire {
+		observations[i] = replica.NewObservation(o.ID, float64(o.Slowness), float64(o.Failing))
+	}
+	return observations
+}
+
+// viewAsk asks a daemon for what it knows of the store after a revision.
+type viewAsk struct {
+	From     string            `cbor:"1,keyasint"`
+	After    uint64            `cbor:"2,keyasint"`
+	Wait     float64           `cbor:"3,keyasint,omitempty"` // milliseconds
+	Observed []viewObservation `cbor:"4,keyasint,omitempty"`
+}
+
 // viewReply is what a daemon knows of the store after a revision.
 type viewReply struct {
 	Items    []viewItem `cbor:"1,keyasint,omitempty"`
 	Complete bool       `cbor:"2,keyasint,omitempty"`
 	Revision uint64     `cbor:"3,keyasint"`
 	Age      float64    `cbor:"4,keyasint"`
+	// Observed is what this daemon and those that follow it have observed.
+	Observed []viewObservation `cbor:"5,keyasint,omitempty"`
 }
 
 func (r viewReply) items() []mirror.Item {
@@ -59,15 +97,19 @@
 func (g *Gateway) controlHandler() http.Handler {
 	e := echo.New()
 	e.GET(string(peers.Control), echo.WrapHandler(g.hub))
-	e.GET(sharePath, func(c echo.Context) error {
-		if !hmac.Equal([]byte(c.Request().Header.Get(proofHeader)), []byte(proof(g.config.Key, c.Request().URL.RequestURI()))) {
+	e.POST(sharePath, func(c echo.Context) error {
+		text, err := io.ReadAll(io.LimitReader(c.Request().Body, maxAsk))
+		if err != nil {
+			return err
+		}
+		if !hmac.Equal([]byte(c.Request().Header.Get(proofHeader)), []byte(proof(g.config.Key, text))) {
 			return c.NoContent(http.StatusForbidden)
 		}
-		after, err := strconv.ParseUint(c.QueryParam("after"), 10, 64)
-		if err != nil {
-			return c.String(http.StatusBadRequest, "after must be a revision")
+		var ask viewAsk
+		if err := codec.Decode(text, &ask); err != nil {
+			return c.String(http.StatusBadRequest, err.Error())
 		}
-		body, err := codec.Encode(g.view.tell(after))
+		body, err := codec.Encode(g.view.await(c.Request().Context(), ask))
 		if err != nil {
 			return err
 		}
@@ -77,24 +119,31 @@
 }
 
 // proof shows that a request comes from a daemon of the same deployment.
-func proof(key []byte, target string) string {
+func proof(key, text []byte) string {
 	mac := hmac.New(sha256.New, key)
-	_, _ = mac.Write([]byte(target))
+	_, _ = mac.Write(text)
 	return hex.EncodeToString(mac.Sum(nil))
 }
 
-var shareClient = &http.Client{Timeout: shareTimeout, Transport: &http.Transport{
+var shareClient = &http.Client{Transport: &http.Transport{
+	DialContext:         (&net.Dialer{Timeout: shareDial, KeepAlive: -1}).DialContext,
 	MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second,
 }}
 
-// fetch asks a peer for what it knows of the store after a revision.
-func fetch(ctx context.Context, key []byte, peer string, after uint64) (viewReply, error) {
-	target := sharePath + "?after=" + strconv.FormatUint(after, 10)
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer+target, nil)
+// fetch asks a peer for what it knows of the store.
+func fetch(ctx context.Context, key []byte, peer string, ask viewAsk) (viewReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout+clock.Millis(ask.Wait).Duration())
+	defer cancel()
+	text, err := codec.Encode(ask)
+	if err != nil {
+		return viewReply{}, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer+sharePath, bytes.NewReader(text))
 	if err != nil {
 		return viewReply{}, err
 	}
-	request.Header.Set(proofHeader, proof(key, target))
+	request.Header.Set("Content-Type", "application/cbor")
+	request.Header.Set(proofHeader, proof(key, text))
 	response, err := shareClient.Do(request)
 	if err != nil {
 		return viewReply{}, errors.Mark(err, errShare)
--- a/entry/gateway/view.go
+++ b/entry/gateway/view.go
@@ -30,10 +30,24 @@
 	reader     *mirror.Reader
 	known      bool
 	registered bool
+	news       chan struct{} // closed when the mirror changes
+	told       map[string]toldObservations
 }
 
+// toldObservations is what a daemon that follows this one has observed.
+type toldObservations struct {
+	at       clock.Millis
+	observed []viewObservation
+}
+
+// toldTime is how long observations of a daemon are passed on.
+const toldTime = 2 * clock.Second
+
 func newView(g *Gateway) *view {
-	v := &view{gateway: g, log: g.log.WithName("store"), store: g.ports.Store, random: derive(g.ports.Random)}
+	v := &view{
+		gateway: g, log: g.log.WithName("store"), store: g.ports.Store, random: derive(g.ports.Random),
+		news: make(chan struct{}), told: make(map[string]toldObservations),
+	}
 	v.reader = mirror.NewReader(g.began, &v.mirror, derive(g.ports.Random))
 	return v
 }
@@ -78,6 +92,10 @@
 	v.mu.Lock()
 	v.reader.Begin(v.now())
 	v.mu.Unlock()
+	if call.Kind() == mirror.Follow {
+		v.follow(ctx, call)
+		return
+	}
 	var page Page
 	var err error
 	if call.Kind() == mirror.List {
@@ -105,6 +123,31 @@
 	v.learn(v.mirror.Expire(now))
 }
 
+func (v *view) setSources(peers []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.reader.SetSources(peers)
+}
+
+// follow waits for changes at a peer, and exchanges observations with it.
+func (v *view) follow(ctx context.Context, call mirror.Call) {
+	ask := viewAsk{
+		From: v.gateway.config.Peers, After: call.After(), Wait: float64(call.Wait()),
+		Observed: toWire(v.gateway.engine.Observations()),
+	}
+	reply, err := fetch(ctx, v.gateway.config.Key, call.Peer(), ask)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if err != nil {
+		v.reader.Blame(v.now(), call.Peer())
+		v.log.Info("peer is not followed for a while", "peer", call.Peer(), "error", err.Error())
+		return
+	}
+	v.learn(v.reader.Followed(v.now(), call.Peer(), reply.items(), reply.Complete, reply.Revision, clock.Millis(reply.Age)))
+	v.learn(v.mirror.Expire(v.now()))
+	v.gateway.engine.Hear(fromWire(reply.Observed))
+}
+
 // learn hands changes of the mirror to the engine. The caller holds the lock.
 func (v *view) learn(changes []mirror.Item) {
 	var facts []routing.Fact
@@ -125,6 +168,10 @@
 	if len(facts) > 0 {
 		v.gateway.engine.Learn(facts)
 	}
+	if len(changes) > 0 {
+		close(v.news)
+		v.news = make(chan struct{})
+	}
 	if !v.known && v.mirror.Complete() && v.gateway.engine.Version() > 0 {
 		v.known = true
 		close(v.gateway.complete)
@@ -177,7 +224,7 @@
 }
 
 func (v *view) askPeer(ctx context.Context, peer string, after uint64) {
-	reply, err := fetch(ctx, v.gateway.config.Key, peer, after)
+	reply, err := fetch(ctx, v.gateway.config.Key, peer, viewAsk{From: v.gateway.config.Peers, After: after})
 	if err != nil {
 		if !errors.Is(err, context.Canceled) {
 			v.log.V(1).Info("peer did not tell", "peer", peer, "error", err.Error())
@@ -189,15 +236,62 @@
 	v.learn(v.reader.Told(v.now(), reply.items(), reply.Complete, reply.Revision, clock.Millis(reply.Age)))
 }
 
+// await returns what a peer does not know yet, as soon as there is something.
+func (v *view) await(ctx context.Context, ask viewAsk) viewReply {
+	v.hear(ask)
+	limit := time.After(min(clock.Millis(ask.Wait), maxFollowWait).Duration())
+	for {
+		v.mu.Lock()
+		news := v.news
+		v.mu.Unlock()
+		reply := v.tell(ask)
+		if ask.Wait <= 0 || reply.Revision == 0 || len(reply.Items) > 0 {
+			return reply
+		}
+		select {
+		case <-news:
+		case <-limit:
+			return v.tell(ask)
+		case <-ctx.Done():
+			return reply
+		}
+	}
+}
+
+// maxFollowWait bounds how long a peer may let this daemon wait for news.
+const maxFollowWait = 5 * clock.Second
+
+// hear takes what a daemon that follows this one has observed.
+func (v *view) hear(ask viewAsk) {
+	v.gateway.engine.Hear(fromWire(ask.Observed))
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.now()
+	for from, told := range v.told {
+		if now > told.at+toldTime {
+			delete(v.told, from)
+		}
+	}
+	if len(ask.Observed) > 0 {
+		v.told[ask.From] = toldObservations{at: now, observed: ask.Observed}
+	}
+}
+
 // tell returns what a peer does not know yet.
-func (v *view) tell(after uint64) viewReply {
+func (v *view) tell(ask viewAsk) viewReply {
+	own := toWire(v.gateway.engine.Observations())
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !v.mirror.Complete() {
 		return viewReply{}
 	}
-	items, complete, revision := v.mirror.Since(after)
-	reply := viewReply{Complete: complete, Revision: revision, Age: float64(v.reader.Age(v.now()))}
+	items, complete, revision := v.mirror.Since(ask.After)
+	reply := viewReply{Complete: complete, Revision: revision, Age: float64(v.reader.Age(v.now())), Observed: own}
+	for from, told := range v.told {
+		if from != ask.From {
+			reply.Observed = append(reply.Observed, told.observed...)
+		}
+	}
 	for _, item := range items {
 		reply.Items = append(reply.Items, viewItem{
 			Key: item.Key(), Value: item.Value(), Revision: item.Revision(), Removed: item.Removed(),
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -45,6 +45,9 @@
 	// Changed is called with the number of daemons that share the fleet-wide
 	// limits. It must not call back.
 	Changed func(daemons int)
+	// Sources is called with the peers of the same data centre that this daemon
+	// may follow, in order. It must not call back.
+	Sources func(peers []string)
 }
 
 // Roster is the view of the fleet. It is safe for concurrent use.
@@ -156,6 +159,22 @@
 		}
 	}
 	r.count()
+	r.parts.Sources(r.sources())
+}
+
+// maxSources bounds the peers that a daemon may follow.
+const maxSources = 3
+
+// sources returns the daemons of the same data centre that come before this
+// one: the first one reads the store, the others follow it.
+func (r *Roster) sources() []string {
+	var before []string
+	for _, m := range r.membership.Members() {
+		if m.DataCentre() == r.parts.Self.DataCentre() && m.Alive() && m.ID() < r.parts.Self.ID() {
+			before = append(before, string(m.ID()))
+		}
+	}
+	return before[:min(len(before), maxSources)]
 }
 
 // count derives over how many daemons the limits are divided: all that may
--- a/entry/routing/facts.go
+++ b/entry/routing/facts.go
@@ -70,6 +70,20 @@
 	e.parts.Log.Info("data centre "+change, "dataCentre", dataCentre)
 }
 
+// Observations returns this daemon's fresh evidence about replicas.
+func (e *Engine) Observations() []replica.Observation {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.set.Observations(e.parts.Clock.Now())
+}
+
+// Hear takes what peers have observed.
+func (e *Engine) Hear(told []replica.Observation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.set.Hear(e.parts.Clock.Now(), told)
+}
+
 // SetBudget changes the fleet-wide budget of repeated requests.
 func (e *Engine) SetBudget(budget replica.BudgetPolicy) {
 	e.mu.Lock()
