--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -127,8 +127,8 @@
 	overdueFactor = 2.2
 	// sampleGap ends the validity of older samples once a new one is there.
 	sampleGap    = clock.Second
-	wasSlow      = 1.15                     // slowness that is not forgotten yet
-	slownessSpan = 1500 * clock.Millisecond // time constant with which slowness is forgotten
+	wasSlow      = 1.15             // slowness that is not forgotten yet
+	slownessSpan = 6 * clock.Second // time constant with which slowness is forgotten
 	failureSpan  = 3 * clock.Second
 	failureStep  = 0.2
 	lossStep     = 0.5
