replica, dispatch: replicas that shed are avoided, and asked again where no others may be

A refusal left no trace in the choice, two of them gave a shard up, and 35 of 36 shards must be in. A refusal counts as a small failure now; a shard whose allowed replicas have all only refused is sent to them again, up to four times, within the budget and not while they are crowded.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -44,7 +44,9 @@
 	lateReserve = 4
 	// maxConnects bounds the replicas of one shard that were tried in vain for
 	// a connection.
-	maxConnects   = 4
+	maxConnects = 4
+	// maxSheds bounds how often replicas of a shard may refuse a request.
+	maxSheds      = 4
 	minRetryAfter = 50 * clock.Millisecond
 	maxRetryAfter = 2 * clock.Second
 )
@@ -86,7 +88,10 @@
 type shard struct {
 	pool     *replica.Pool
 	tried    []*replica.Replica
-	arrived  int // exchanges that count as attempts
+	asked    []*replica.Replica // all that may be asked any more, or nil for any
+	limit    int                // exchanges that are allowed, if above the attempts
+	arrived  int                // exchanges that reached a replica
+	shed     int                // those of them that the replica refused
 	connects int
 	pending  int
 	reply    int // last exchange that ended with a replica's own failure, or -1
@@ -236,6 +241,9 @@
 	default:
 		s.arrived++
 	}
+	if result == replica.Shed {
+		s.shed++
+	}
 	switch {
 	case result == replica.OK:
 		q.cover(a.shard, number)
@@ -288,7 +296,12 @@
 // again sends a retry now, plans one for later, or gives the shard up.
 func (q *Request) again(now clock.Millis, i int) {
 	s := &q.shards[i]
-	if s.arrived >= q.route.Attempts() || s.connects >= maxConnects {
+	if s.arrived >= q.route.Attempts() && s.shed == s.arrived && s.arrived < maxSheds && !q.crowded(now, s) {
+		// The replicas that were asked did not run it. No others may be asked,
+		// but these may be asked again.
+		s.askAgain()
+	}
+	if s.arrived >= max(q.route.Attempts(), s.limit) || s.connects >= maxConnects {
 		q.lose(i)
 		return
 	}
@@ -313,6 +326,20 @@
 	q.send(now, i, r, q.retryPurpose(s))
 }
 
+// askAgain limits a shard to the replicas that have refused it, and allows one
+// more exchange with one of them.
+func (s *shard) askAgain() {
+	if s.asked == nil {
+		s.asked = s.tried
+	}
+	last := s.tried[len(s.tried)-1]
+	s.limit = s.arrived + 1
+	s.tried = s.pool.Others(s.asked)
+	if len(s.asked) > 1 {
+		s.tried = append(s.tried, last)
+	}
+}
+
 func (q *Request) retryPurpose(s *shard) Purpose {
 	if len(s.tried) == 0 {
 		return First
--- a/core/replica/pick.go
+++ b/core/replica/pick.go
@@ -106,6 +106,17 @@
 
 func (r *Replica) near() bool { return r.entry.DataCentre() == r.pool.set.dataCentre }
 
+// Others returns the replicas that are not among the given ones.
+func (p *Pool) Others(given []*Replica) []*Replica {
+	var others []*Replica
+	for _, r := range p.replicas {
+		if !slices.Contains(given, r) {
+			others = append(others, r)
+		}
+	}
+	return others
+}
+
 // Usable returns how many replicas may be asked at all.
 func (p *Pool) Usable(now clock.Millis) int {
 	n := 0
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -132,6 +132,7 @@
 	failureSpan  = 3 * clock.Second
 	failureStep  = 0.2
 	lossStep     = 0.5
+	shedStep     = 0.1 // less than a failure, since a full replica sheds too
 	minBackoff   = 150 * clock.Millisecond
 	maxBackoff   = 2 * clock.Second
 )
@@ -205,6 +206,7 @@
 		r.fail(now, failureStep)
 	case Shed:
 		r.refusals = 0
+		r.fail(now, shedStep)
 		r.fullUntil = now + max(expected, 5*clock.Millisecond)
 	case Foreign:
 		// The entry is out of date: the address belongs to another replica.
