logs, telemetry, routing: a line for each decision that touches a request, figures as text; tests

JSON lines through a bounded queue that never holds up a request, sampled and limited to a rate; level and sample can be changed while running.

--- a/core/mirror/reader.go
+++ b/core/mirror/reader.go
@@ -54,6 +54,9 @@
 	Follow
 )
 
+// String names the kind as it appears in metrics.
+func (k CallKind) String() string { return [...]string{"list", "watch", "follow"}[k] }
+
 // Call is a read that is due.
 type Call struct {
 	kind     CallKind
@@ -194,7 +197,7 @@
 		// A daemon that starts asks at once: the store may be away.
 		silent += askAfter
 	}
-	if silent < askAfter || now < r.asked+askPace {
+	if silent < askAfter || (r.asked > 0 && now < r.asked+askPace) {
 		return false
 	}
 	r.asked = now
--- a/core/replica/pool.go
+++ b/core/replica/pool.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -77,39 +79,94 @@
 // SetOut names the data centres that are taken out of service.
 func (s *Set) SetOut(dataCentres []string) { s.out = dataCentres }
 
-// Put takes an entry of the list that is new or has changed.
-func (s *Set) Put(now clock.Millis, e Entry) {
+// Put takes an entry of the list that is new or has changed. It returns what
+// is new about the replica in a word, or "".
+func (s *Set) Put(now clock.Millis, e Entry) (change string) {
 	r := s.replicas[e.ID()]
 	if r != nil && (r.entry.spec.Born != e.spec.Born || r.entry.Service() != e.Service() || r.entry.Address() != e.Address()) {
 		s.Drop(e.ID())
-		r = nil
+		r, change = nil, "restarted"
 	}
 	if r == nil {
+		if change == "" {
+			change = "listed"
+		}
 		p := s.Pool(e.Service())
 		r = &Replica{pool: p}
 		s.replicas[e.ID()] = r
 		p.replicas = append(p.replicas, r)
 	}
 	if e.Draining() && !r.entry.Draining() {
-		r.drainSeen = now
+		r.drainSeen, change = now, "draining"
 	}
 	r.entry = e
 	if e.spec.ColdFor > 0 {
+		if !r.Cold(now) && change == "" {
+			change = "cold"
+		}
 		r.becomeCold(now, e.spec.ColdFor)
 	} else {
 		r.coldUntil = min(r.coldUntil, now)
 	}
+	return change
 }
 
-// Drop removes a replica that is gone from the list.
-func (s *Set) Drop(id string) {
+// Drop removes a replica that is gone from the list, and reports whether it was
+// known.
+func (s *Set) Drop(id string) bool {
 	r := s.replicas[id]
 	if r == nil {
-		return
+		return false
 	}
 	r.removed = true
 	delete(s.replicas, id)
 	r.pool.replicas = slices.DeleteFunc(r.pool.replicas, func(x *Replica) bool { return x == r })
+	return true
+}
+
+// States counts the replicas by state: each in the first one of draining,
+// unreachable, out, cold, slow, failing that holds, or ready.
+func (s *Set) States(now clock.Millis) map[string]int {
+	states := make(map[string]int)
+	for _, r := range s.replicas {
+		states[r.state(now)]++
+	}
+	return states
+}
+
+func (r *Replica) state(now clock.Millis) string {
+	switch {
+	case r.entry.Draining():
+		return "draining"
+	case now < r.retryAt:
+		return "unreachable"
+	case slices.Contains(r.pool.set.out, r.entry.DataCentre()):
+		return "out"
+	case r.Cold(now):
+		return "cold"
+	case r.slowness(now) >= tellSlow:
+		return "slow"
+	case r.failures(now) >= tellFailing:
+		return "failing"
+	default:
+		return "ready"
+	}
+}
+
+// maxBudgets bounds the services in Budgets.
+const maxBudgets = 64
+
+// Budgets returns what is left of this daemon's part of the budget of repeated
+// requests, of the services with the least.
+func (s *Set) Budgets(now clock.Millis) map[string]float64 {
+	names := slices.SortedFunc(maps.Keys(s.pools), func(a, b string) int {
+		return cmp.Or(cmp.Compare(s.pools[a].budget.Left(now), s.pools[b].budget.Left(now)), cmp.Compare(a, b))
+	})
+	left := make(map[string]float64)
+	for _, name := range names[:min(len(names), maxBudgets)] {
+		left[name] = s.pools[name].budget.Left(now)
+	}
+	return left
 }
 
 // Len returns the number of listed replicas.
--- /dev/null
+++ b/entry/exchange/exchange_test.go
@@ -0,0 +1,246 @@
+package exchange
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/replica"
+)
+
+var names = Names{RequestID: "Id", Deadline: "Left", Expect: "Instance", NotRun: "Refused", Seal: "Seal"}
+
+const good = "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\nContent-Length: 4\r\n\r\nbody"
+
+// scripted is a replica that answers each request on a connection with the next
+// text of its script. An empty text is silence, and a text that ends with "!"
+// ends the connection.
+type scripted struct {
+	listener net.Listener
+	requests chan *http.Request
+	accepted chan struct{}
+}
+
+func newScripted(t *testing.T, script ...string) *scripted {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &scripted{listener: listener, requests: make(chan *http.Request, 16), accepted: make(chan struct{}, 16)}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.accepted <- struct{}{}
+			go s.serve(c, script)
+		}
+	}()
+	return s
+}
+
+func (s *scripted) serve(c net.Conn, script []string) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for _, text := range script {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		s.requests <- request
+		if text == "" {
+			_, _ = reader.ReadByte() // until the caller closes
+			return
+		}
+		_, _ = c.Write([]byte(strings.TrimSuffix(text, "!")))
+		if strings.HasSuffix(text, "!") {
+			return
+		}
+	}
+	_, _ = reader.ReadByte()
+}
+
+func (s *scripted) spec(request string) Spec {
+	return Spec{
+		Address: s.listener.Addr().String(), Instance: "i-1", Method: http.MethodGet, Target: "/a/b?c=d", Host: "h.example",
+		Header: http.Header{"Id": {request}, "X-Other": {"1", "2"}}, Request: request,
+		Deadline: clock.Clock{}.Now() + 300,
+	}
+}
+
+func run(t *testing.T, client *Client, spec Spec) (*Reply, replica.Result) {
+	t.Helper()
+	return client.New(spec).Run()
+}
+
+// Guards against each way in which a replica's answer can be taken for what it
+// is not.
+func TestResultsOfAnswers(t *testing.T) {
+	cases := map[string]struct {
+		answer string
+		result replica.Result
+		body   string
+	}{
+		"complete":              {good, replica.OK, "body"},
+		"chunked":               {"HTTP/1.1 200 OK\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", replica.OK, "body"},
+		"until the end":         {"HTTP/1.1 200 OK\r\nSeal: s\r\n\r\nbody!", replica.OK, "body"},
+		"after another answer":  {"HTTP/1.1 200 OK\r\nId: r0\r\nSeal: s\r\nContent-Length: 3\r\n\r\nold" + good, replica.OK, "body"},
+		"with an informational": {"HTTP/1.1 103 Early Hints\r\n\r\n" + good, replica.OK, "body"},
+		"client error":          {"HTTP/1.1 404 Not Found\r\nSeal: s\r\nContent-Length: 0\r\n\r\n", replica.OK, ""},
+		"no seal":               {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", replica.Failed, "body"},
+		"encoded":               {"HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody", replica.Failed, "body"},
+		"server error":          {"HTTP/1.1 500 Oops\r\nSeal: s\r\nContent-Length: 0\r\n\r\n", replica.Failed, ""},
+		"refused":               {"HTTP/1.1 503 Full\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n", replica.Shed, ""},
+		"foreign":               {"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n", replica.Foreign, ""},
+		"cut body":              {"HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Length: 9\r\n\r\nbody!", replica.Lost, ""},
+		"cut header":            {"HTTP/1.1 200 OK\r\nSe!", replica.Lost, ""},
+		"not HTTP":              {"\x00\x01\x02\r\n\r\n!", replica.Lost, ""},
+		"closed":                {"!", replica.Lost, ""},
+		"silent":                {"", replica.Silent, ""},
+		"only other answers":    {strings.Repeat(strings.ReplaceAll(good, "r1", "r0"), maxStrays), replica.Lost, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newScripted(t, c.answer)
+			reply, result := run(t, NewClient(clock.Clock{}, names), s.spec("r1"))
+			require.Equal(t, c.result.String(), result.String())
+			if c.body != "" {
+				assert.Equal(t, c.body, string(reply.Body()))
+			}
+		})
+	}
+}
+
+// Guards against a request that a replica sees changed.
+func TestRequestArrivesUnchanged(t *testing.T) {
+	s := newScripted(t, good)
+	spec := s.spec("r1")
+	spec.Method, spec.Body = http.MethodPost, []byte("payload")
+	_, result := run(t, NewClient(clock.Clock{}, names), spec)
+	require.Equal(t, replica.OK, result)
+	request := <-s.requests
+	assert.Equal(t, "/a/b?c=d", request.RequestURI)
+	assert.Equal(t, "h.example", request.Host)
+	assert.Equal(t, []string{"1", "2"}, request.Header["X-Other"])
+	assert.Equal(t, "i-1", request.Header.Get("Instance"))
+	assert.Equal(t, int64(7), request.ContentLength)
+	assert.Regexp(t, `^(2\d\d|300)$`, request.Header.Get("Left"))
+}
+
+// Guards against bytes of an old exchange that are read as the answer to a new
+// one: a connection with an unread byte, or whose exchange was abandoned, is not
+// used again.
+func TestDirtyConnectionsAreNotUsedAgain(t *testing.T) {
+	s := newScripted(t, good+good, good)
+	client := NewClient(clock.Clock{}, names)
+	_, result := run(t, client, s.spec("r1"))
+	require.Equal(t, replica.OK, result)
+	time.Sleep(20 * time.Millisecond)
+	_, result = run(t, client, s.spec("r1"))
+	require.Equal(t, replica.OK, result)
+	assert.Equal(t, int64(2), client.Opened())
+}
+
+// Guards against a connection for each request.
+func TestConnectionIsUsedAgain(t *testing.T) {
+	s := newScripted(t, good, good, good)
+	client := NewClient(clock.Clock{}, names)
+	for range 3 {
+		_, result := run(t, client, s.spec("r1"))
+		require.Equal(t, replica.OK, result)
+	}
+	assert.Equal(t, int64(1), client.Opened())
+	spec := s.spec("r1")
+	spec.Fresh = true
+	_, result := run(t, client, spec)
+	require.Equal(t, replica.OK, result)
+	assert.Equal(t, int64(2), client.Opened(), "what may not be repeated gets a connection of its own")
+}
+
+// Guards against a used connection that the replica closed and that counts as a
+// crash, or as proof that the request did not run.
+func TestConnectionThatEndedWhileIdle(t *testing.T) {
+	s := newScripted(t, good+"!", good)
+	client := NewClient(clock.Clock{}, names)
+	_, result := run(t, client, s.spec("r1"))
+	require.Equal(t, replica.OK, result)
+	time.Sleep(20 * time.Millisecond)
+	_, result = run(t, client, s.spec("r1"))
+	assert.Equal(t, replica.OK, result, "the end is seen before the request is sent")
+	s = newScripted(t, good, "!")
+	_, result = run(t, client, s.spec("r1"))
+	require.Equal(t, replica.OK, result)
+	_, result = run(t, client, s.spec("r1"))
+	assert.Equal(t, replica.Closed, result)
+}
+
+// Guards against replicas that work on for nobody.
+func TestAbandonedExchangeClosesItsConnection(t *testing.T) {
+	s := newScripted(t, "")
+	client := NewClient(clock.Clock{}, names)
+	x := client.New(s.spec("r1"))
+	ended := make(chan replica.Result)
+	go func() {
+		_, result := x.Run()
+		ended <- result
+	}()
+	<-s.requests
+	x.Abandon()
+	select {
+	case result := <-ended:
+		assert.Equal(t, replica.Abandoned, result)
+	case <-time.After(200 * time.Millisecond):
+		t.Fatal("the exchange goes on")
+	}
+}
+
+// Guards against open connections that all went silent: after two without a
+// byte, the idle ones are not tried one after the other.
+func TestSilentConnectionsAreDropped(t *testing.T) {
+	s := newScripted(t, good, "")
+	client := NewClient(clock.Clock{}, names)
+	const open = 5
+	var waiting []*Exchange
+	for range open {
+		x := client.New(s.spec("r1"))
+		waiting = append(waiting, x)
+	}
+	results := make(chan replica.Result, open)
+	for _, x := range waiting {
+		go func() {
+			_, result := x.Run()
+			results <- result
+		}()
+	}
+	for range open {
+		require.Equal(t, replica.OK, <-results)
+	}
+	for range muteLimit {
+		spec := s.spec("r1")
+		spec.Deadline = clock.Clock{}.Now() + 30
+		_, result := run(t, client, spec)
+		require.Equal(t, replica.Silent, result)
+	}
+	_, result := run(t, client, s.spec("r1"))
+	assert.Equal(t, replica.OK, result)
+}
+
+// Guards against a time limit of a replica that is ignored.
+func TestKeepAliveLimits(t *testing.T) {
+	for value, want := range map[string]clock.Millis{"timeout=5": 5000, "max=3, timeout=0": 0, "Timeout=12, max=1": 12000} {
+		limit, ok := keepAliveLimit(value)
+		assert.True(t, ok, value)
+		assert.Equal(t, want, limit, value)
+	}
+	for _, value := range []string{"", "timeout", "timeout=x", "timeout=-1", "max=5"} {
+		_, ok := keepAliveLimit(value)
+		assert.False(t, ok, value)
+	}
+}
--- a/entry/gateway/configuration.go
+++ b/entry/gateway/configuration.go
@@ -27,6 +27,7 @@
 	Addresses  string   `json:"addresses"` // address for questions where to connect
 	Peers      string   `json:"peers"`     // address for other daemons
 	Store      string   `json:"store"`     // address of the platform's store
+	Metrics    string   `json:"metrics"`   // address for figures as text; none if empty
 	Seeds      []string `json:"seeds"`
 	Key        string   `json:"key"` // shared by the daemons of a deployment
 	// GraceS is the time in seconds from the stop signal to the end.
@@ -47,8 +48,11 @@
 
 // LogLevel sets what is logged.
 type LogLevel struct {
-	// Level is 0 for failures and changes, 1 for each decision, 2 for details.
+	// Level is 0 for failures and changes, 1 for a sample of the routine
+	// decisions too, 2 for details.
 	Level int `json:"level"`
+	// Sample is one in how many routine decisions is logged; 0 stands for 100.
+	Sample int `json:"sample"`
 }
 
 // Load reads and checks a process configuration. It returns ErrConfiguration.
@@ -104,6 +108,8 @@
 		return errors.Wrapf(ErrConfiguration, "repeats.slack: %v must not be negative", p.Repeats.Slack)
 	case !(p.Repeats.WindowS > 0):
 		return errors.Wrapf(ErrConfiguration, "repeats.windowS: %v must be above 0 seconds", p.Repeats.WindowS)
+	case p.Log.Sample < 0:
+		return errors.Wrapf(ErrConfiguration, "log.sample: %d must not be negative", p.Log.Sample)
 	case p.Log.Level < 0 || p.Log.Level > 2:
 		return errors.Wrapf(ErrConfiguration, "log.level: %d must be 0, 1 or 2", p.Log.Level)
 	}
--- /dev/null
+++ b/entry/gateway/figures.go
@@ -0,0 +1,30 @@
+package gateway
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/lovagegap/lovagegap/core/fleet"
+)
+
+// Figures sets the gauges of what the daemon believes at present.
+func (g *Gateway) Figures(registry metrics.Registry) {
+	set := func(name string, value int64) { metrics.GetOrRegisterGauge(name, registry).Update(value) }
+	for name, value := range g.engine.Figures() {
+		set(name, value)
+	}
+	states := make(map[fleet.State]int64)
+	for _, m := range g.roster.Members() {
+		states[m.State()]++
+	}
+	for _, state := range []fleet.State{fleet.Joining, fleet.Alive, fleet.Leaving, fleet.Suspect, fleet.Dead, fleet.Left} {
+		set("members."+state.String(), states[state])
+	}
+	reached, age, calls := g.view.figures()
+	set("store.reached", reached)
+	set("store.age-ms", age)
+	for name, count := range calls {
+		set("store.calls."+name, count)
+	}
+	set("links.dropped", int64(g.hub.Dropped()))
+	set("links.rejected", int64(g.hub.Rejected()))
+}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -86,6 +86,8 @@
 	Clock       clock.Clock
 	Random      *rand.Rand
 	Meter       routing.Meter
+	// Routine reports whether a routine decision is logged; nil logs none.
+	Routine func() bool
 }
 
 // Gateway is the entry daemon for routes. It is safe for concurrent use.
@@ -117,6 +119,7 @@
 	g.engine = routing.New(routing.Parts{
 		Clock: ports.Clock, Log: g.log.WithName("routing"), DataCentre: config.DataCentre,
 		Names: config.Callees, Random: derive(ports.Random), Budget: config.Budget, Meter: ports.Meter,
+		Routine: ports.Routine,
 	})
 	self := fleet.NewMember(fleet.ID(config.Peers), config.Callers, config.DataCentre, config.Region,
 		uint64(time.Now().UnixMilli()))
--- a/entry/gateway/view.go
+++ b/entry/gateway/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -32,6 +33,7 @@
 	registered bool
 	news       chan struct{} // closed when the mirror changes
 	told       map[string]toldObservations
+	calls      map[string]int64 // by kind and outcome
 }
 
 // toldObservations is what a daemon that follows this one has observed.
@@ -46,7 +48,7 @@
 func newView(g *Gateway) *view {
 	v := &view{
 		gateway: g, log: g.log.WithName("store"), store: g.ports.Store, random: derive(g.ports.Random),
-		news: make(chan struct{}), told: make(map[string]toldObservations),
+		news: make(chan struct{}), told: make(map[string]toldObservations), calls: make(map[string]int64),
 	}
 	v.reader = mirror.NewReader(g.began, &v.mirror, derive(g.ports.Random))
 	return v
@@ -106,6 +108,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.now()
+	v.count(call.Kind().String(), err)
 	if err != nil {
 		if v.reader.Failed(now, err) {
 			v.log.Info("store lost", "error", err.Error())
@@ -138,6 +141,7 @@
 	reply, err := fetch(ctx, v.gateway.config.Key, call.Peer(), ask)
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.count(call.Kind().String(), err)
 	if err != nil {
 		v.reader.Blame(v.now(), call.Peer())
 		v.log.Info("peer is not followed for a while", "peer", call.Peer(), "error", err.Error())
@@ -150,6 +154,8 @@
 
 // learn hands changes of the mirror to the engine. The caller holds the lock.
 func (v *view) learn(changes []mirror.Item) {
+	now := v.now()
+	v.gateway.engine.Viewed(now - v.reader.Age(now))
 	var facts []routing.Fact
 	var seeds []string
 	registry := v.gateway.config.Registry
@@ -178,6 +184,28 @@
 	}
 }
 
+// count counts a call. The caller holds the lock.
+func (v *view) count(kind string, err error) {
+	switch {
+	case err == nil:
+		kind += ".ok"
+	case errors.Is(err, mirror.ErrCompacted):
+		kind += ".compacted"
+	default:
+		kind += ".failed"
+	}
+	v.calls[kind]++
+}
+
+func (v *view) figures() (reached, age int64, calls map[string]int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.reader.Reached() {
+		reached = 1
+	}
+	return reached, int64(v.reader.Age(v.now())), maps.Clone(v.calls)
+}
+
 // register writes this daemon's address to the store once, so that daemons
 // find each other without seeds.
 func (v *view) register(ctx context.Context) {
--- /dev/null
+++ b/entry/logs/logs_test.go
@@ -0,0 +1,84 @@
+package logs
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+type buffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *buffer) lines() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Split(strings.TrimSpace(b.text.String()), "\n")
+}
+
+// Guards against a standard output that nobody reads and that stops requests.
+func TestStalledWriterDelaysNobody(t *testing.T) {
+	reader, writer := io.Pipe() // nobody reads
+	defer reader.Close()
+	sink := New(writer)
+	log := sink.Logger()
+	began := time.Now()
+	for range 10 * queueLines {
+		log.Info("request failed", "request", "r")
+	}
+	sink.Close()
+	assert.Less(t, time.Since(began), 2*time.Second)
+	assert.Positive(t, sink.Dropped())
+}
+
+// Guards against logs that grow with the load: ten times the lines of a second
+// are cut to the rate, and the rest is counted and said.
+func TestVolumeIsBounded(t *testing.T) {
+	var out buffer
+	sink := New(&out)
+	log := sink.Logger()
+	for range 10 * linesPerSecond {
+		log.Info("request failed")
+	}
+	time.Sleep(1100 * time.Millisecond)
+	log.Info("request failed")
+	sink.Close()
+	lines := out.lines()
+	assert.LessOrEqual(t, len(lines), 2*linesPerSecond+2)
+	assert.Contains(t, strings.Join(lines, "\n"), `"msg":"lines dropped"`)
+}
+
+// Guards against lines that no tool can read, and a level that cannot be
+// changed while the daemon runs.
+func TestLinesAreJSONAndFollowTheLevel(t *testing.T) {
+	var out buffer
+	sink := New(&out)
+	log := sink.Logger().WithName("routing").WithValues("daemon", "a")
+	log.V(1).Info("hidden")
+	sink.Configure(Options{Level: 1, Sample: 2})
+	log.V(1).Info("shown", "request", "x\n\"y")
+	assert.False(t, sink.Routine())
+	assert.True(t, sink.Routine())
+	sink.Close()
+	lines := out.lines()
+	require.Len(t, lines, 1)
+	var line map[string]any
+	require.NoError(t, json.Unmarshal([]byte(lines[0]), &line))
+	assert.Equal(t, "shown", line["msg"])
+	assert.Equal(t, "x\n\"y", line["request"])
+	assert.Equal(t, "a", line["daemon"])
+}
--- a/entry/routing/call.go
+++ b/entry/routing/call.go
@@ -20,6 +20,8 @@
 	state     *dispatch.Request
 	exchanges []*exchange.Exchange
 	replies   []*exchange.Reply
+	steps     []step
+	version   uint64 // of the configuration
 	timer     *time.Timer
 	finished  bool
 	done      chan Answer
@@ -31,6 +33,7 @@
 	defer e.mu.Unlock()
 	now := e.parts.Clock.Now()
 	c.began = now
+	c.version = e.table.Version()
 	deadline := now + c.route.Timeout()
 	if c.request.Deadline > 0 {
 		deadline = min(deadline, now+c.request.Deadline)
@@ -38,7 +41,7 @@
 	resources := e.resources(c.route)
 	if e.stopAt > 0 {
 		if now+resources.Profile.Expected(c.route.Objective())*2 > e.stopAt {
-			c.finish(refusal(http.StatusServiceUnavailable, "the daemon stops", leavingRetry), "refused")
+			c.finish(refusal(http.StatusServiceUnavailable, "the daemon stops", leavingRetry), "refused", nil)
 			return
 		}
 		deadline = min(deadline, e.stopAt)
@@ -53,7 +56,7 @@
 	for _, action := range actions {
 		switch action.Kind() {
 		case dispatch.Send:
-			c.send(action)
+			c.send(now, action)
 		case dispatch.Abandon:
 			c.exchanges[action.Attempt()].Abandon()
 		case dispatch.Wake:
@@ -64,7 +67,7 @@
 	}
 }
 
-func (c *call) send(action dispatch.Action) {
+func (c *call) send(now clock.Millis, action dispatch.Action) {
 	e := c.engine
 	entry := action.Replica().Entry()
 	x := e.client.New(exchange.Spec{
@@ -75,6 +78,7 @@
 	})
 	c.exchanges = append(c.exchanges, x)
 	c.replies = append(c.replies, nil)
+	c.traceSend(now, action)
 	e.parts.Meter.Sent(c.route.Name(), entry.Service(), action.Purpose().String())
 	go c.run(x, action.Attempt(), entry.Service())
 }
@@ -87,6 +91,9 @@
 	c.replies[attempt] = reply
 	e.parts.Meter.Ended(service, result.String())
 	now := e.parts.Clock.Now()
+	if !c.finished {
+		c.traceEnd(now, attempt, result.String())
+	}
 	c.perform(now, c.state.Ended(now, attempt, result))
 }
 
@@ -140,7 +147,7 @@
 	case dispatch.Gone:
 		answer = Answer{status: statusCallerLeft, gone: true}
 	}
-	c.finish(answer, outcome.Kind().String())
+	c.finish(answer, outcome.Kind().String(), outcome.Missing())
 }
 
 // statusCallerLeft is only counted; nobody reads it.
@@ -159,7 +166,7 @@
 	return Answer{status: status, reply: reply}
 }
 
-func (c *call) finish(answer Answer, outcome string) {
+func (c *call) finish(answer Answer, outcome string, missing []string) {
 	e := c.engine
 	c.finished = true
 	delete(e.running, c)
@@ -168,5 +175,6 @@
 	}
 	now := e.parts.Clock.Now()
 	e.parts.Meter.Finished(c.route.Name(), outcome, answer.status, answer.missing, now-c.began)
+	c.log(now, answer, outcome, missing)
 	c.done <- answer
 }
--- a/entry/routing/facts.go
+++ b/entry/routing/facts.go
@@ -34,19 +34,26 @@
 			e.adopt(fact.Table)
 		case fact.Out != "":
 			e.out[fact.Out] = true
-			e.setOut("out", fact.Out)
+			e.setOut("taken out", fact.Out)
 		case fact.In != "":
 			delete(e.out, fact.In)
-			e.setOut("in", fact.In)
+			e.setOut("taken back", fact.In)
 		case fact.Replica != nil:
 			e.put(now, *fact.Replica)
 		case fact.Gone != "":
-			e.set.Drop(fact.Gone)
+			if e.set.Drop(fact.Gone) {
+				e.parts.Log.V(1).Info("replica gone", "replica", fact.Gone)
+			}
 		}
 	}
 }
 
-func (e *Engine) put(now clock.Millis, entry replica.Entry) { e.set.Put(now, entry) }
+func (e *Engine) put(now clock.Millis, entry replica.Entry) {
+	if change := e.set.Put(now, entry); change != "" {
+		e.parts.Log.V(1).Info("replica "+change, "replica", entry.ID(), "service", entry.Service(),
+			"dataCentre", entry.DataCentre(), "address", entry.Address())
+	}
+}
 
 func (e *Engine) adopt(table *route.Table) {
 	if e.table != nil && table.Version() <= e.table.Version() {
--- /dev/null
+++ b/entry/routing/figures.go
@@ -0,0 +1,24 @@
+package routing
+
+// Figures returns what the engine believes at present, by name.
+func (e *Engine) Figures() map[string]int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.parts.Clock.Now()
+	figures := map[string]int64{
+		"requests.running":   int64(len(e.running)),
+		"connections.opened": e.client.Opened(),
+		"datacentres.out":    int64(len(e.out)),
+	}
+	if e.table != nil {
+		figures["configuration.version"] = int64(e.table.Version())
+		figures["configuration.routes"] = int64(e.table.Routes())
+	}
+	for state, count := range e.set.States(now) {
+		figures["replicas."+state] = int64(count)
+	}
+	for service, left := range e.set.Budgets(now) {
+		figures["service."+service+".budget-left"] = int64(left)
+	}
+	return figures
+}
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -37,6 +37,8 @@
 	Random     *rand.Rand
 	Budget     replica.BudgetPolicy
 	Meter      Meter
+	// Routine reports whether a routine decision is logged; nil logs none.
+	Routine func() bool
 }
 
 // Meter counts what the engine does. Its methods are called under the lock of
@@ -61,6 +63,7 @@
 	urgent   map[string]int            // highest priority of the routes to a service
 	running  map[*call]struct{}
 	stopAt   clock.Millis // instant at which the daemon ends, or 0
+	viewed   clock.Millis // instant up to which the store is known
 }
 
 // New returns an engine without a configuration.
@@ -182,6 +185,13 @@
 	e.stopAt = at
 }
 
+// Viewed says up to which instant the store is known.
+func (e *Engine) Viewed(at clock.Millis) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.viewed = max(e.viewed, at)
+}
+
 // Running returns the number of requests without an answer.
 func (e *Engine) Running() int {
 	e.mu.Lock()
--- /dev/null
+++ b/entry/routing/trace.go
@@ -0,0 +1,92 @@
+package routing
+
+import (
+	"net/http"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/dispatch"
+)
+
+// step is what happened to one exchange of a request, for its log line.
+type step struct {
+	Service   string       `json:"service"`
+	Replica   string       `json:"replica"`
+	Purpose   string       `json:"purpose"`
+	At        clock.Millis `json:"at"` // since the request came, ms
+	Took      clock.Millis `json:"took,omitempty"`
+	Result    string       `json:"result"`
+	InFlight  int          `json:"inFlight"`  // unanswered exchanges of this daemon there
+	ListedAgo clock.Millis `json:"listedAgo"` // age of the knowledge of the store, ms
+}
+
+const unanswered = "unanswered"
+
+func (c *call) traceSend(now clock.Millis, action dispatch.Action) {
+	entry := action.Replica().Entry()
+	c.steps = append(c.steps, step{
+		Service: entry.Service(), Replica: entry.ID(), Purpose: action.Purpose().String(),
+		At: round(now - c.began), Result: unanswered, InFlight: action.Replica().InFlight(),
+		ListedAgo: round(now - c.engine.viewed),
+	})
+}
+
+func (c *call) traceEnd(now clock.Millis, attempt int, result string) {
+	s := &c.steps[attempt]
+	s.Result, s.Took = result, round(now-c.began-s.At)
+}
+
+func round(m clock.Millis) clock.Millis { return clock.Millis(int64(m*10)) / 10 }
+
+// log writes the line of a finished request: always if something went wrong,
+// otherwise if it is one of the sample.
+func (c *call) log(now clock.Millis, answer Answer, outcome string, shards []string) {
+	e := c.engine
+	elapsed := now - c.began
+	message, level := "", 0
+	switch {
+	case answer.gone:
+		message = "caller left"
+	case answer.status >= http.StatusInternalServerError:
+		message = "request not served"
+	case len(shards) > 0:
+		message = "answer without some shards"
+	case elapsed > c.route.Objective():
+		message = "answer late"
+	case e.parts.Routine != nil && e.parts.Routine():
+		message, level = "request served", 1
+	default:
+		return
+	}
+	values := []any{
+		"request", c.request.ID, "route", c.route.Name(), "version", c.version, "outcome", outcome,
+		"status", answer.status, "ms", round(elapsed), "objective", c.route.Objective(), "deadline", round(c.request.Deadline),
+	}
+	if answer.reason != "" {
+		values = append(values, "reason", answer.reason)
+	}
+	if answer.retryAfter > 0 {
+		values = append(values, "retryAfter", round(answer.retryAfter))
+	}
+	if len(shards) > 0 {
+		values = append(values, "missing", shards)
+	}
+	e.parts.Log.V(level).Info(message, append(values, "exchanges", c.notable(elapsed))...)
+}
+
+// maxSteps bounds the exchanges in a log line.
+const maxSteps = 12
+
+// notable returns the exchanges that explain the outcome: of many shards those
+// that did not just answer in time.
+func (c *call) notable(elapsed clock.Millis) []step {
+	if len(c.route.Shards()) == 0 {
+		return c.steps[:min(len(c.steps), maxSteps)]
+	}
+	var found []step
+	for _, s := range c.steps {
+		if (s.Result != "ok" || s.Purpose != "first" || s.Took > elapsed/2) && len(found) < maxSteps {
+			found = append(found, s)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/entry/telemetry/routes.go
@@ -0,0 +1,156 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+)
+
+// Routes counts what a daemon does for the requests on routes: answers by route
+// and outcome with their latency, and exchanges by service. The zero value is
+// ready for use. It is safe for concurrent use. Names above the limit of series
+// are counted together.
+type Routes struct {
+	once     sync.Once
+	registry metrics.Registry
+
+	mu       sync.Mutex
+	routes   map[string]*routeSeries
+	services map[string]*serviceSeries
+}
+
+const (
+	maxRoutes     = 64
+	maxServices   = 128
+	routeSample   = 256
+	secondsFactor = 1000 // histograms hold microseconds
+)
+
+type routeSeries struct {
+	latency  metrics.Histogram
+	outcomes map[string]metrics.Counter
+	missing  metrics.Counter
+}
+
+type serviceSeries struct {
+	sent  map[string]metrics.Counter
+	ended map[string]metrics.Counter
+}
+
+// Registry returns the go-metrics registry for figures of other subsystems.
+func (t *Routes) Registry() metrics.Registry {
+	t.once.Do(func() {
+		t.registry = metrics.NewRegistry()
+		t.routes = make(map[string]*routeSeries)
+		t.services = make(map[string]*serviceSeries)
+	})
+	return t.registry
+}
+
+// Sent counts an exchange that was started.
+func (t *Routes) Sent(_, service, purpose string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.service(service)
+	t.count(s.sent, "service."+s.name(service, t)+".sent.", purpose)
+}
+
+// Ended counts the end of an exchange.
+func (t *Routes) Ended(service, result string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.service(service)
+	t.count(s.ended, "service."+s.name(service, t)+".ended.", result)
+}
+
+// Finished counts an answer.
+func (t *Routes) Finished(route, outcome string, status, missing int, latency clock.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, name := t.route(route)
+	t.count(s.outcomes, "route."+name+".outcome.", outcome)
+	t.count(s.outcomes, "route."+name+".status.", fmt.Sprint(status))
+	s.latency.Update(int64(latency * secondsFactor))
+	if missing > 0 {
+		s.missing.Inc(1)
+	}
+}
+
+func (t *Routes) count(known map[string]metrics.Counter, prefix, word string) {
+	c := known[prefix+word]
+	if c == nil {
+		c = metrics.GetOrRegisterCounter(prefix+strings.ReplaceAll(word, " ", "-"), t.Registry())
+		known[prefix+word] = c
+	}
+	c.Inc(1)
+}
+
+func (t *Routes) route(name string) (*routeSeries, string) {
+	registry := t.Registry()
+	if t.routes[name] == nil && len(t.routes) >= maxRoutes {
+		name = overflow
+	}
+	s := t.routes[name]
+	if s == nil {
+		s = &routeSeries{
+			latency:  metrics.NewHistogram(metrics.NewUniformSample(routeSample)),
+			outcomes: make(map[string]metrics.Counter),
+			missing:  metrics.NewRegisteredCounter("route."+name+".partial", registry),
+		}
+		_ = registry.Register("route."+name+".latency", s.latency)
+		t.routes[name] = s
+	}
+	return s, name
+}
+
+func (t *Routes) service(name string) *serviceSeries {
+	t.Registry()
+	if t.services[name] == nil && len(t.services) >= maxServices {
+		name = overflow
+	}
+	s := t.services[name]
+	if s == nil {
+		s = &serviceSeries{sent: make(map[string]metrics.Counter), ended: make(map[string]metrics.Counter)}
+		t.services[name] = s
+	}
+	return s
+}
+
+// name returns the name under which a service is counted.
+func (s *serviceSeries) name(service string, t *Routes) string {
+	if t.services[service] == s {
+		return service
+	}
+	return overflow
+}
+
+// WriteText writes the figures as text, a name and a value on each line, in
+// order of the names. Latencies are in microseconds.
+func (t *Routes) WriteText(w io.Writer) error {
+	var lines []string
+	t.mu.Lock()
+	t.Registry().Each(func(name string, figure any) {
+		switch m := figure.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s %d", name, m.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s %d", name, m.Value()))
+		case metrics.Histogram:
+			s := m.Snapshot()
+			quantiles := s.Percentiles([]float64{0.5, 0.99})
+			lines = append(lines,
+				fmt.Sprintf("%s.count %d", name, s.Count()), fmt.Sprintf("%s.max %d", name, s.Max()),
+				fmt.Sprintf("%s.p50 %.0f", name, quantiles[0]), fmt.Sprintf("%s.p99 %.0f", name, quantiles[1]))
+		}
+	})
+	t.mu.Unlock()
+	slices.Sort(lines)
+	_, err := io.WriteString(w, strings.Join(lines, "\n")+"\n")
+	return err
+}
