lovagegapctl trace, platform: whole-path tests over a stand-in of the store and the replicas

errors marked with a sentinel were not found by the standard errors.Is (tests of the store's answers and of foreign entries failed first); they wrap the sentinel now.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -419,7 +419,7 @@
 
 // Cancel takes that the caller has gone. What may be repeated is given up at
 // once; what may not runs to its end.
-func (q *Request) Cancel(now clock.Millis) []Action {
+func (q *Request) Cancel(_ clock.Millis) []Action {
 	if q.finished {
 		return nil
 	}
--- a/core/dispatch/world_test.go
+++ b/core/dispatch/world_test.go
@@ -22,7 +22,6 @@
 	daemons  []*worldDaemon
 	replicas [][]*worldReplica // by shard
 	route    *route.Route
-	seen     tally
 	windows  []tally
 	began    clock.Millis
 }
@@ -68,7 +67,7 @@
 type tally struct {
 	asked, inTime, late, refusedOnce, refused, failed int
 	benefit                                           float64
-	sent, far, arrivals, dialled                      int
+	sent, far, dialled                                int
 }
 
 func (t tally) String() string {
--- a/entry/gateway/configuration.go
+++ b/entry/gateway/configuration.go
@@ -59,7 +59,7 @@
 func Load(path string) (Process, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return Process{}, errors.Mark(errors.Wrap(err, "read the configuration"), ErrConfiguration)
+		return Process{}, errors.Wrapf(ErrConfiguration, "%v", err)
 	}
 	return Parse(text)
 }
--- a/entry/gateway/share.go
+++ b/entry/gateway/share.go
@@ -146,7 +146,7 @@
 	request.Header.Set(proofHeader, proof(key, text))
 	response, err := shareClient.Do(request)
 	if err != nil {
-		return viewReply{}, errors.Mark(err, errShare)
+		return viewReply{}, errors.Wrapf(errShare, "%v", err)
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxShare))
@@ -155,7 +155,7 @@
 	}
 	var reply viewReply
 	if err := codec.Decode(body, &reply); err != nil {
-		return viewReply{}, errors.Mark(err, errShare)
+		return viewReply{}, errors.Wrapf(errShare, "%v", err)
 	}
 	return reply, nil
 }
--- a/lovagegapctl/internal/command/command.go
+++ b/lovagegapctl/internal/command/command.go
@@ -61,6 +61,7 @@
 	{"upstreams", "u", "list the upstreams as a daemon sees them", func() action { return &upstreams{} }},
 	{"events", "e", "list the events of a daemon", func() action { return &events{} }},
 	{"metrics", "m", "show the metrics of a daemon", func() action { return &metrics{} }},
+	{"trace", "t", "merge saved logs of daemons, by time or around a request", func() action { return &trace{} }},
 	{"drain", "stop", "have a daemon stop after its running queries", func() action { return &drain{} }},
 }
 
