replica: a replica whose address another one has is not asked any more

Cause: 14 % of the replicas ended and their addresses went to replicas of other shards; their entries stay for three pings, each of 24 daemons went on asking them every two seconds, and got 421 from a replica of another shard, where the request counts as a second arrival. 472 such answers in 10 s in the logged exchanges. Ruled out: the number of daemons (24 all the time), restarts (none), the window.

--- a/core/replica/observation.go
+++ b/core/replica/observation.go
@@ -51,6 +51,9 @@
 		}
 		if now-r.failedAt < tellSpan {
 			o.failing = r.failures(now)
+			if r.displaced {
+				o.failing = 1
+			}
 		}
 		if o.slowness >= tellSlow || o.failing >= tellFailing {
 			found = append(found, o)
--- a/core/replica/pick.go
+++ b/core/replica/pick.go
@@ -55,7 +55,7 @@
 	var near, far, last candidate
 	busy := false
 	for _, r := range p.replicas {
-		if slices.Contains(ask.tried, r) || slices.Contains(p.set.out, r.entry.DataCentre()) {
+		if r.displaced || slices.Contains(ask.tried, r) || slices.Contains(p.set.out, r.entry.DataCentre()) {
 			continue
 		}
 		if !r.hasRoom(now) {
@@ -133,7 +133,7 @@
 	room := clock.Second // the list is read again by then
 	for _, r := range p.replicas {
 		switch {
-		case r.entry.Draining() || slices.Contains(p.set.out, r.entry.DataCentre()):
+		case r.displaced || r.entry.Draining() || slices.Contains(p.set.out, r.entry.DataCentre()):
 		case now < r.retryAt:
 			room = min(room, r.retryAt-now)
 		case !r.hasRoom(now), now < r.fullUntil:
--- a/core/replica/pool.go
+++ b/core/replica/pool.go
@@ -18,6 +18,7 @@
 	random     *rand.Rand
 	pools      map[string]*Pool
 	replicas   map[string]*Replica
+	addresses  map[string]*Replica // the one listed last
 	out        []string
 	daemons    int
 	budget     BudgetPolicy
@@ -37,6 +38,7 @@
 	return &Set{
 		dataCentre: dataCentre, random: random, daemons: 1, budget: budget,
 		pools: make(map[string]*Pool), replicas: make(map[string]*Replica),
+		addresses: make(map[string]*Replica),
 	}
 }
 
@@ -100,6 +102,7 @@
 		r.drainSeen, change = now, "draining"
 	}
 	r.entry = e
+	s.claim(r)
 	if e.spec.ColdFor > 0 {
 		if !r.Cold(now) && change == "" {
 			change = "cold"
@@ -111,6 +114,15 @@
 	return change
 }
 
+// claim notes that a replica has its address, whoever had it before.
+func (s *Set) claim(r *Replica) {
+	if before := s.addresses[r.entry.Address()]; before != nil && before != r {
+		before.displaced = true
+	}
+	s.addresses[r.entry.Address()] = r
+	r.displaced = false
+}
+
 // Drop removes a replica that is gone from the list, and reports whether it was
 // known.
 func (s *Set) Drop(id string) bool {
@@ -118,14 +130,16 @@
 	if r == nil {
 		return false
 	}
-	r.removed = true
 	delete(s.replicas, id)
+	if s.addresses[r.entry.Address()] == r {
+		delete(s.addresses, r.entry.Address())
+	}
 	r.pool.replicas = slices.DeleteFunc(r.pool.replicas, func(x *Replica) bool { return x == r })
 	return true
 }
 
 // States counts the replicas by state: each in the first one of draining,
-// unreachable, out, cold, slow, failing that holds, or ready.
+// displaced, unreachable, out, cold, slow, failing that holds, or ready.
 func (s *Set) States(now clock.Millis) map[string]int {
 	states := make(map[string]int)
 	for _, r := range s.replicas {
@@ -138,6 +152,8 @@
 	switch {
 	case r.entry.Draining():
 		return "draining"
+	case r.displaced:
+		return "displaced"
 	case now < r.retryAt:
 		return "unreachable"
 	case slices.Contains(r.pool.set.out, r.entry.DataCentre()):
@@ -255,7 +271,7 @@
 }
 
 func (r *Replica) usable(now clock.Millis) bool {
-	return !r.entry.Draining() && now >= r.retryAt && !slices.Contains(r.pool.set.out, r.entry.DataCentre())
+	return !r.displaced && !r.entry.Draining() && now >= r.retryAt && !slices.Contains(r.pool.set.out, r.entry.DataCentre())
 }
 
 // coldInterval returns the time between two requests of this daemon to one
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -140,9 +140,10 @@
 // Replica is one replica with the evidence about it. It is not safe for
 // concurrent use.
 type Replica struct {
-	entry   Entry
-	pool    *Pool
-	removed bool
+	entry Entry
+	pool  *Pool
+	// displaced means that another replica has the address.
+	displaced bool
 
 	pending  []exchange // unanswered, oldest first
 	ratios   [samples]float64
@@ -209,9 +210,8 @@
 		r.fail(now, shedStep)
 		r.fullUntil = now + max(expected, 5*clock.Millisecond)
 	case Foreign:
-		// The entry is out of date: the address belongs to another replica.
-		r.retryAt = now + maxBackoff
-		r.refusals++
+		r.displaced = true
+		r.failedAt = now
 	case NotConnected:
 		r.refuse(now)
 	case Lost:
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -187,3 +187,25 @@
 	}
 	assert.Less(t, s.Pool("s").Backlog(3000), clock.Millis(0.01))
 }
+
+// Guards against requests to the address of a replica that is gone and whose
+// address another one has: they reach a service that they are not meant for,
+// and count there as repeats.
+func TestReplicaWhoseAddressIsUsedAgain(t *testing.T) {
+	s := newTestSet()
+	put(s, 0, entry("old", "a"), entry("other", "b"))
+	taken := entry("new", "a")
+	taken.Service, taken.Address = "t", "old"
+	put(s, 10, taken)
+	assert.Equal(t, "other", pickID(t, s, 10), "seen from the list")
+	put(s, 20, entry("old", "a"))
+	assert.Equal(t, "old", pickID(t, s, 20), "the later entry holds")
+
+	s.get("old").Begin(20, expected)
+	s.get("old").End(21, 20, Foreign, expected)
+	assert.Equal(t, "other", pickID(t, s, 5000), "seen from the answer, until the entry changes")
+	s.Drop("other")
+	_, err := s.Pool("s").Pick(5000, NewAsk(expected, nil))
+	assert.ErrorIs(t, err, ErrNone, "not as a last resort either")
+	assert.Contains(t, s.Observations(22), NewObservation("old", 1, 1), "and told to peers")
+}
