routing: requests that crash replicas are kept away, also where peers saw it; gateway: no deadlock of view and roster

The deadlock: the view calls the roster under its lock (new daemons in the registry) and the roster called the view under its own (whom to follow).

--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -119,13 +119,14 @@
 	g.engine = routing.New(routing.Parts{
 		Clock: ports.Clock, Log: g.log.WithName("routing"), DataCentre: config.DataCentre,
 		Names: config.Callees, Random: derive(ports.Random), Budget: config.Budget, Meter: ports.Meter,
-		Routine: ports.Routine,
+		Routine: ports.Routine, Crashed: g.tellCrash,
 	})
 	self := fleet.NewMember(fleet.ID(config.Peers), config.Callers, config.DataCentre, config.Region,
 		uint64(time.Now().UnixMilli()))
 	g.roster = roster.New(roster.Parts{
 		Clock: ports.Clock, Log: g.log.WithName("roster"), Self: self, Random: derive(ports.Random),
 		Changed: g.engine.SetDaemons, Sources: func(peers []string) { g.view.setSources(peers) },
+		Record: g.hearRecord,
 	})
 	g.hub = peers.New(peers.Control, peers.NewIdentity(config.Peers, self.Incarnation()),
 		[][]byte{config.Key}, g.roster, g.log.WithName("peers"))
--- a/entry/gateway/view.go
+++ b/entry/gateway/view.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +27,8 @@
 	store   Store
 	random  *rand.Rand
 
+	sources atomic.Pointer[[]string]
+
 	mu         sync.Mutex
 	mirror     mirror.Mirror
 	reader     *mirror.Reader
@@ -63,6 +66,9 @@
 	for ctx.Err() == nil {
 		v.mu.Lock()
 		now := v.now()
+		if peers := v.sources.Load(); peers != nil {
+			v.reader.SetSources(*peers)
+		}
 		call := v.reader.Next(now)
 		v.mu.Unlock()
 		if !sleep(ctx, call.At()-now) {
@@ -126,11 +132,9 @@
 	v.learn(v.mirror.Expire(now))
 }
 
-func (v *view) setSources(peers []string) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.reader.SetSources(peers)
-}
+// setSources names the peers that may be followed. It does not take the lock:
+// the roster calls it under its own, and the view calls the roster under its.
+func (v *view) setSources(peers []string) { v.sources.Store(&peers) }
 
 // follow waits for changes at a peer, and exchanges observations with it.
 func (v *view) follow(ctx context.Context, call mirror.Call) {
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -48,6 +48,9 @@
 	// Sources is called with the peers of the same data centre that this daemon
 	// may follow, in order. It must not call back.
 	Sources func(peers []string)
+	// Record takes a record of another subsystem that a peer has published. It
+	// must not call back.
+	Record func(record fleet.Record)
 }
 
 // Roster is the view of the fleet. It is safe for concurrent use.
@@ -125,6 +128,8 @@
 			r.links.Hangup(string(action.Peer()))
 		case fleet.Changed:
 			r.changed()
+		case fleet.Accepted:
+			r.parts.Record(action.Record())
 		}
 	}
 }
@@ -199,6 +204,11 @@
 	}
 }
 
+// Publish spreads a record of another subsystem to all daemons.
+func (r *Roster) Publish(record fleet.Record) {
+	r.do(func(now clock.Millis) []fleet.Action { return r.membership.Publish(now, record) })
+}
+
 // Ready announces that the daemon serves callers.
 func (r *Roster) Ready() { r.do(r.membership.Ready) }
 
--- a/entry/routing/call.go
+++ b/entry/routing/call.go
@@ -38,6 +38,10 @@
 	if c.request.Deadline > 0 {
 		deadline = min(deadline, now+c.request.Deadline)
 	}
+	if e.quarantined(now, &c.request) {
+		c.finish(quarantinedAnswer(), "quarantined", nil)
+		return
+	}
 	resources := e.resources(c.route)
 	if e.stopAt > 0 {
 		if now+resources.Profile.Expected(c.route.Objective())*2 > e.stopAt {
@@ -147,6 +151,7 @@
 	case dispatch.Gone:
 		answer = Answer{status: statusCallerLeft, gone: true}
 	}
+	c.noteCrash(c.engine.parts.Clock.Now(), outcome.Kind())
 	c.finish(answer, outcome.Kind().String(), outcome.Missing())
 }
 
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -22,6 +22,7 @@
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/dispatch"
+	"github.com/lovagegap/lovagegap/core/quarantine"
 	"github.com/lovagegap/lovagegap/core/replica"
 	"github.com/lovagegap/lovagegap/core/route"
 	"github.com/lovagegap/lovagegap/core/topk"
@@ -39,6 +40,9 @@
 	Meter      Meter
 	// Routine reports whether a routine decision is logged; nil logs none.
 	Routine func() bool
+	// Crashed tells the peers of a request that may have crashed a replica; nil
+	// tells nobody. It is called under the lock of the engine.
+	Crashed func(f quarantine.Fingerprint, replica string)
 }
 
 // Meter counts what the engine does. Its methods are called under the lock of
@@ -62,13 +66,14 @@
 	gates    map[string]*dispatch.Gate // by the first service of a route
 	urgent   map[string]int            // highest priority of the routes to a service
 	running  map[*call]struct{}
+	crashes  crashes
 	stopAt   clock.Millis // instant at which the daemon ends, or 0
 	viewed   clock.Millis // instant up to which the store is known
 }
 
 // New returns an engine without a configuration.
 func New(parts Parts) *Engine {
-	return &Engine{
+	e := &Engine{
 		parts:    parts,
 		client:   exchange.NewClient(parts.Clock, parts.Names),
 		set:      replica.NewSet(parts.DataCentre, parts.Random, parts.Budget),
@@ -77,6 +82,8 @@
 		gates:    make(map[string]*dispatch.Gate),
 		running:  make(map[*call]struct{}),
 	}
+	e.crashes.list.SetCanary(false)
+	return e
 }
 
 // Request is a request of a caller, read completely.
