--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -154,7 +154,7 @@
 		return q.refuse(now, "no time left")
 	}
 	if !q.servable(now) {
-		return q.refuse(now, "too few shards have a replica")
+		return q.refuse(now, q.reason("no replica of the service", "too few shards have a replica"))
 	}
 	if ok, after := q.admitted(now); !ok {
 		return q.finish(Outcome{kind: Refused, retryAfter: min(maxRetryAfter, max(minRetryAfter, after)), reason: "too much work is waiting"})
@@ -177,6 +177,14 @@
 	return found >= q.needed()
 }
 
+// reason returns the text for a route to one service or over many shards.
+func (q *Request) reason(one, many string) string {
+	if q.route.Shards() == nil {
+		return one
+	}
+	return many
+}
+
 // needed returns how many shards an answer must have.
 func (q *Request) needed() int {
 	if q.route.Shards() == nil {
@@ -435,7 +443,7 @@
 	case q.covered >= needed && now >= min(q.cut, q.final):
 		return q.answer("the objective is near")
 	case q.covered+q.open < needed:
-		return q.giveUp(now, "too few shards can answer")
+		return q.giveUp(now, q.reason("no replica can answer", "too few shards can answer"))
 	case now >= q.final:
 		return q.timeOut(now)
 	}
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -168,3 +168,10 @@
 	require.Equal(t, []string{"b"}, keys(r.Followed(3100, "p1", []Item{item("b", 11)}, false, 11, 20)))
 	assert.False(t, r.AskPeer(3200))
 }
+
+// Guards against followers that leave a daemon whose watch only waits because
+// nothing changes: its knowledge must not look too old until it has waited.
+func TestQuietWatchDoesNotLookOld(t *testing.T) {
+	assert.Less(t, watchWait, maxAge-200*clock.Millisecond)
+	assert.Less(t, watchWait+watchSlack+followSlack, 3*clock.Second, "a silent store is noticed within the time of a drain")
+}
--- a/core/mirror/reader.go
+++ b/core/mirror/reader.go
@@ -22,8 +22,10 @@
 	// write all the time returns at once.
 	pace = 1100 * clock.Millisecond
 	// watchWait is how long a quiet watch waits. A connection that went silent
-	// is noticed shortly after it.
-	watchWait   = 2 * clock.Second
+	// is noticed shortly after it, and the knowledge of a daemon that others
+	// follow does not look older than maxAge meanwhile.
+	watchWait   = 1200 * clock.Millisecond
+	watchSlack  = 700 * clock.Millisecond
 	callTimeout = 900 * clock.Millisecond
 	firstRetry  = 150 * clock.Millisecond
 	maxRetry    = 800 * clock.Millisecond
@@ -141,7 +143,7 @@
 		return Call{kind: List, at: max(now, r.retryAt), afterKey: r.afterKey, timeout: callTimeout}
 	}
 	at := max(r.started+pace, r.retryAt)
-	return Call{kind: Watch, at: max(now, at), after: r.mirror.Revision(), wait: watchWait, timeout: watchWait + callTimeout}
+	return Call{kind: Watch, at: max(now, at), after: r.mirror.Revision(), wait: watchWait, timeout: watchWait + watchSlack}
 }
 
 // Begin notes that a call starts.
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -218,6 +218,7 @@
 		r.fail(now, lossStep)
 		r.retryAt = max(r.retryAt, now+minBackoff/2)
 	case Closed:
+		r.fail(now, shedStep)
 	case Silent:
 		r.fail(now, lossStep)
 		r.sample(now, float64((now-began)/expected))
