--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 MODULES := core entry lovagegapd lovagegapctl lovagegap-standin platform
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
-PROGRAMS := ./lovagegapd ./lovagegapctl ./lovagegap-standin
+PROGRAMS := ./lovagegapd ./lovagegapctl ./lovagegap-standin ./platform
 
-.PHONY: build run test check format bench tools
+.PHONY: build run test check format bench soak tools
 
 build:
 	@mkdir -p bin
@@ -19,6 +19,10 @@
 bench: build
 	bash scripts/bench.sh
 
+# Plays the fault soak with real daemons; docs/SOAK.md explains the variables.
+soak:
+	SOAK_SEEDS=$${SOAK_SEEDS:-50} SOAK_FIRST=$${SOAK_FIRST:-1} go test ./platform -run TestSoak -count=1 -v -timeout 30m
+
 format:
 	gofmt -w $(MODULES)
 
--- a/entry/gateway/view.go
+++ b/entry/gateway/view.go
@@ -94,8 +94,8 @@
 }
 
 // read carries out a read of the store.
-func (v *view) read(ctx context.Context, call mirror.Call) {
-	ctx, cancel := context.WithTimeout(ctx, call.Timeout().Duration())
+func (v *view) read(life context.Context, call mirror.Call) {
+	ctx, cancel := context.WithTimeout(life, call.Timeout().Duration())
 	defer cancel()
 	v.mu.Lock()
 	v.reader.Begin(v.now())
@@ -116,7 +116,7 @@
 	now := v.now()
 	v.count(call.Kind().String(), err)
 	if err != nil {
-		if v.reader.Failed(now, err) {
+		if life.Err() == nil && v.reader.Failed(now, err) {
 			v.log.Info("store lost", "error", err.Error())
 		}
 		return
