--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -85,24 +85,6 @@
 	finished bool
 }
 
-type shard struct {
-	pool     *replica.Pool
-	tried    []*replica.Replica
-	asked    []*replica.Replica // all that may be asked any more, or nil for any
-	limit    int                // exchanges that are allowed, if above the attempts
-	arrived  int                // exchanges that reached a replica
-	shed     int                // those of them that the replica refused
-	connects int
-	pending  int
-	reply    int // last exchange that ended with a replica's own failure, or -1
-	winner   int // exchange that covered the shard, or -1
-	lost     bool
-	hedgeAt  clock.Millis
-	retryAt  clock.Millis
-}
-
-func (s *shard) open() bool { return s.winner < 0 && !s.lost }
-
 type attempt struct {
 	shard   int
 	replica *replica.Replica
@@ -137,12 +119,6 @@
 
 const never = clock.Millis(1e18)
 
-// Expected returns the usual latency of an exchange of this request.
-func (q *Request) Expected() clock.Millis { return q.expected }
-
-// Service returns the service that a shard asks.
-func (q *Request) Service(shard int) string { return q.shards[shard].pool.Service() }
-
 // Start sends the first exchanges, or refuses the request at once if it cannot
 // be served.
 func (q *Request) Start(now clock.Millis) []Action {
@@ -193,36 +169,6 @@
 	return q.route.MinShards()
 }
 
-func (q *Request) pick(now clock.Millis, s *shard) (*replica.Replica, error) {
-	ask := replica.NewAsk(q.expected, s.tried).Within(q.route.Objective() * earlyShare)
-	if !q.route.Idempotent() {
-		ask = ask.Careful()
-	}
-	return s.pool.Pick(now, ask)
-}
-
-func (q *Request) first(now clock.Millis, i int) {
-	s := &q.shards[i]
-	r, err := q.pick(now, s)
-	if err != nil {
-		s.retryAt = now + recheck
-		return
-	}
-	q.send(now, i, r, First)
-}
-
-func (q *Request) send(now clock.Millis, i int, r *replica.Replica, purpose Purpose) {
-	s := &q.shards[i]
-	s.tried = append(s.tried, r)
-	s.pending++
-	s.hedgeAt = now + max(minHedge, q.expected*hedgeFactor)
-	r.Begin(now, q.work)
-	q.attempts = append(q.attempts, attempt{shard: i, replica: r, began: now})
-	q.actions = append(q.actions, Action{
-		kind: Send, attempt: len(q.attempts) - 1, shard: i, purpose: purpose, replica: r, at: q.deadline,
-	})
-}
-
 // Ended takes the end of an exchange. The evidence about the replica counts in
 // any case; the answer only if it is still wanted.
 func (q *Request) Ended(now clock.Millis, number int, result replica.Result) []Action {
@@ -264,113 +210,6 @@
 	return q.settle(now)
 }
 
-func (q *Request) cover(i, number int) {
-	s := &q.shards[i]
-	s.winner = number
-	q.covered++
-	q.open--
-	q.drop(i)
-}
-
-// drop abandons the exchanges of a shard that is decided.
-func (q *Request) drop(i int) {
-	if q.shards[i].pending == 0 {
-		return
-	}
-	for number := range q.attempts {
-		a := &q.attempts[number]
-		if a.shard != i || a.ended || a.dropped {
-			continue
-		}
-		a.dropped = true
-		q.shards[i].pending--
-		q.actions = append(q.actions, Action{kind: Abandon, attempt: number})
-	}
-}
-
-// failed decides whether a shard whose exchange failed is asked again.
-func (q *Request) failed(now clock.Millis, i int, result replica.Result) {
-	s := &q.shards[i]
-	if s.pending > 0 {
-		return
-	}
-	if !q.route.Idempotent() && !result.NotRun() {
-		q.lose(i)
-		return
-	}
-	q.again(now, i)
-}
-
-// again sends a retry now, plans one for later, or gives the shard up.
-func (q *Request) again(now clock.Millis, i int) {
-	s := &q.shards[i]
-	if s.arrived >= q.route.Attempts() && s.shed == s.arrived && s.arrived < maxSheds && !q.crowded(now, s) {
-		// The replicas that were asked did not run it. No others may be asked,
-		// but these may be asked again.
-		s.askAgain()
-	}
-	if s.arrived >= max(q.route.Attempts(), s.limit) || s.connects >= maxConnects {
-		q.lose(i)
-		return
-	}
-	r, err := q.pick(now, s)
-	if err != nil {
-		if len(s.tried) > 0 && s.connects > 0 {
-			// All replicas were tried; those that could not be reached may be
-			// tried again.
-			s.tried = s.tried[:0]
-		}
-		if q.route.Shards() == nil {
-			q.lose(i)
-			return
-		}
-		s.retryAt = now + recheck
-		return
-	}
-	if s.arrived > 0 && !s.pool.Budget().Take(now, q.reserve(now)) {
-		s.retryAt = now + recheck
-		return
-	}
-	q.send(now, i, r, q.retryPurpose(s))
-}
-
-// askAgain limits a shard to the replicas that have refused it, and allows one
-// more exchange with one of them.
-func (s *shard) askAgain() {
-	if s.asked == nil {
-		s.asked = s.tried
-	}
-	last := s.tried[len(s.tried)-1]
-	s.limit = s.arrived + 1
-	s.tried = s.pool.Others(s.asked)
-	if len(s.asked) > 1 {
-		s.tried = append(s.tried, last)
-	}
-}
-
-func (q *Request) retryPurpose(s *shard) Purpose {
-	if len(s.tried) == 0 {
-		return First
-	}
-	return Retry
-}
-
-// reserve returns what a request must leave in the budget: one that is late
-// already leaves some of it to those that are in time.
-func (q *Request) reserve(now clock.Millis) float64 {
-	if now > q.began+q.route.Objective() {
-		return lateReserve
-	}
-	return 0
-}
-
-func (q *Request) lose(i int) {
-	if q.shards[i].open() {
-		q.shards[i].lost = true
-		q.open--
-	}
-}
-
 // Tick does what is due. A Tick that comes early does no harm.
 func (q *Request) Tick(now clock.Millis) []Action {
 	if q.finished {
@@ -389,42 +228,6 @@
 	return q.settle(now)
 }
 
-func (q *Request) tickShard(now clock.Millis, i int) {
-	s := &q.shards[i]
-	switch {
-	case !s.open():
-	case s.pending == 0 && now >= s.retryAt:
-		q.again(now, i)
-	case s.pending > 0 && now >= s.hedgeAt:
-		q.hedge(now, i)
-	}
-}
-
-// hedge asks a second replica for a shard that is late.
-func (q *Request) hedge(now clock.Millis, i int) {
-	s := &q.shards[i]
-	if !q.mayHedge(s) {
-		s.hedgeAt = never
-		return
-	}
-	s.hedgeAt = now + recheck
-	if now+q.expected/2 > q.final {
-		return
-	}
-	if q.crowded(now, s) {
-		return
-	}
-	r, err := q.pick(now, s)
-	if err != nil || r.Overdue(now, q.expected) || !s.pool.Budget().Take(now, q.reserve(now)) {
-		return
-	}
-	q.send(now, i, r, Hedge)
-}
-
-func (q *Request) mayHedge(s *shard) bool {
-	return q.route.Idempotent() && s.arrived+s.pending < q.route.Attempts()
-}
-
 // Cancel takes that the caller has gone. What may be repeated is given up at
 // once; what may not runs to its end.
 func (q *Request) Cancel(_ clock.Millis) []Action {
@@ -460,78 +263,6 @@
 	return q.flush()
 }
 
-func (q *Request) answer(reason string) []Action {
-	if q.route.Shards() == nil {
-		return q.finish(Outcome{kind: Answered, attempt: q.shards[0].winner, reason: reason})
-	}
-	outcome := Outcome{kind: Gathered, parts: make([]int, 0, q.covered), reason: reason}
-	for i := range q.shards {
-		if s := &q.shards[i]; s.winner >= 0 {
-			outcome.parts = append(outcome.parts, s.winner)
-		} else {
-			outcome.missing = append(outcome.missing, s.pool.Service())
-		}
-	}
-	return q.finish(outcome)
-}
-
-// giveUp ends a request that no replica can answer any more.
-func (q *Request) giveUp(now clock.Millis, reason string) []Action {
-	if !q.ran() {
-		return q.refuse(now, reason)
-	}
-	if q.route.Shards() == nil && q.shards[0].reply >= 0 {
-		return q.finish(Outcome{kind: Answered, attempt: q.shards[0].reply, reason: "the replica failed"})
-	}
-	return q.finish(Outcome{kind: Unavailable, reason: reason})
-}
-
-func (q *Request) timeOut(now clock.Millis) []Action {
-	if !q.ran() {
-		return q.refuse(now, "no replica took it in time")
-	}
-	return q.finish(Outcome{kind: TimedOut, reason: "the time ran out"})
-}
-
-// ran reports whether a replica may have run the request or may do so yet.
-func (q *Request) ran() bool {
-	if q.mayRun {
-		return true
-	}
-	for i := range q.shards {
-		if q.shards[i].pending > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-func (q *Request) refuse(now clock.Millis, reason string) []Action {
-	after := maxRetryAfter
-	for i := range q.shards {
-		if s := &q.shards[i]; s.open() || q.route.Shards() == nil {
-			after = min(after, s.pool.RoomIn(now, q.expected))
-		}
-	}
-	return q.finish(Outcome{kind: Refused, retryAfter: max(minRetryAfter, after), reason: reason})
-}
-
-func (q *Request) finish(outcome Outcome) []Action {
-	q.finished = true
-	q.actions = append(q.actions, Action{kind: Finish, outcome: outcome})
-	if outcome.kind == Gone && !q.route.Idempotent() {
-		return q.take()
-	}
-	for number := range q.attempts {
-		a := &q.attempts[number]
-		if !a.ended && !a.dropped {
-			a.dropped = true
-			q.actions = append(q.actions, Action{kind: Abandon, attempt: number})
-		}
-	}
-	return q.take()
-}
-
 // flush returns the collected actions, with a Wake if the one that is
 // outstanding comes too late.
 func (q *Request) flush() []Action {
--- a/core/replica/pool.go
+++ b/core/replica/pool.go
@@ -185,9 +185,6 @@
 	return left
 }
 
-// Len returns the number of listed replicas.
-func (s *Set) Len() int { return len(s.replicas) }
-
 func (r *Replica) becomeCold(now, left clock.Millis) {
 	if !r.Cold(now) && r.pool.warmupRate > 0 {
 		// Spreads the first requests of the daemons over one interval.
@@ -222,9 +219,6 @@
 // Budget returns this daemon's part of the budget of repeated requests.
 func (p *Pool) Budget() *quota.Window { return &p.budget }
 
-// Replicas returns the listed replicas. The slice must not be changed.
-func (p *Pool) Replicas() []*Replica { return p.replicas }
-
 // Connections returns how many connections this daemon may have to one replica.
 func (p *Pool) Connections() int {
 	if p.connections == 0 {
--- a/entry/exchange/conn.go
+++ b/entry/exchange/conn.go
@@ -10,6 +10,7 @@
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/replica"
+	"github.com/lovagegap/lovagegap/entry/body"
 	"github.com/lovagegap/lovagegap/entry/socket"
 )
 
@@ -21,10 +22,8 @@
 	maxStrays = 3
 )
 
-var (
-	errOversized = errors.New("reply too large")
-	errStray     = errors.New("reply to another request")
-)
+// errStray means that a connection gave only replies to other requests.
+var errStray = errors.New("reply to another request")
 
 // conn is a connection to a replica. One exchange uses it at a time.
 type conn struct {
@@ -76,7 +75,7 @@
 			continue
 		}
 		c.limited.N = maxReplySize + maxHeadSize
-		body, err := readBody(response)
+		data, err := body.Read(response, maxReplySize)
 		if err != nil {
 			return nil, false, c.readError(err)
 		}
@@ -85,7 +84,7 @@
 		}
 		c.note(response)
 		reply = &Reply{
-			status: response.StatusCode, header: response.Header, body: body,
+			status: response.StatusCode, header: response.Header, body: data,
 			seal: response.Header.Get(x.client.names.Seal),
 		}
 		return reply, !response.Close && c.reader.Buffered() == 0, nil
@@ -100,26 +99,9 @@
 	}
 }
 
-func readBody(response *http.Response) ([]byte, error) {
-	size := response.ContentLength
-	if size > maxReplySize {
-		return nil, errOversized
-	}
-	if size < 0 {
-		body, err := io.ReadAll(io.LimitReader(response.Body, maxReplySize+1))
-		if err == nil && len(body) > maxReplySize {
-			return nil, errOversized
-		}
-		return body, err
-	}
-	body := make([]byte, size)
-	_, err := io.ReadFull(response.Body, body)
-	return body, err
-}
-
 func (c *conn) readError(err error) error {
 	if c.limited.N <= 0 {
-		return errOversized
+		return body.ErrOversized
 	}
 	return err
 }
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -20,6 +20,7 @@
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/route"
+	"github.com/lovagegap/lovagegap/entry/exchange"
 	"github.com/lovagegap/lovagegap/entry/routing"
 )
 
@@ -73,7 +74,7 @@
 		http.Error(w, "the body is incomplete", http.StatusBadRequest)
 		return
 	}
-	answer := h.engine.Do(r.Context(), found, h.request(r, path, body))
+	answer := h.engine.Do(r.Context(), found, h.request(r, body))
 	h.write(w, r, answer)
 }
 
@@ -109,13 +110,13 @@
 	return body, err
 }
 
-func (h *Handler) request(r *http.Request, path string, body []byte) routing.Request {
+func (h *Handler) request(r *http.Request, body []byte) routing.Request {
 	target := r.RequestURI
 	if !strings.HasPrefix(target, "/") {
 		target = r.URL.RequestURI()
 	}
 	request := routing.Request{
-		ID: r.Header.Get(h.names.RequestID), Method: r.Method, Target: target, Path: path,
+		ID: r.Header.Get(h.names.RequestID), Method: r.Method, Target: target,
 		Host: r.Host, Body: body,
 	}
 	if left, err := strconv.ParseFloat(r.Header.Get(h.names.Deadline), 64); err == nil && left > 0 {
@@ -153,45 +154,61 @@
 		return
 	}
 	header := w.Header()
-	if h.life.Leaving() {
-		header.Set("Connection", "close")
-	}
 	var body []byte
-	switch reply := answer.Reply(); {
-	case reply != nil:
-		for name, values := range reply.Header() {
-			header[name] = values
-		}
-		for _, name := range hopHeaders {
-			if name != "Connection" {
-				delete(header, name)
-			}
-		}
-		delete(header, "Connection")
-		if h.life.Leaving() {
-			header.Set("Connection", "close")
-		}
-		body = reply.Body()
+	switch {
+	case answer.Reply() != nil:
+		body = passOn(header, answer.Reply())
 	case answer.Seals() != nil:
-		header.Set(h.names.Seals, strings.Join(answer.Seals(), ", "))
-		header.Set(h.names.Missing, strconv.Itoa(answer.Missing()))
-		header.Set("Content-Type", "application/octet-stream")
-		body = answer.Body()
+		h.identify(header, r)
+		body = h.merged(header, answer)
 	default:
-		header.Set("Content-Type", "text/plain; charset=utf-8")
-		if after := answer.RetryAfter(); after > 0 {
-			header.Set("Retry-After", strconv.FormatFloat(float64(after/clock.Second), 'f', 3, 64))
-		}
-		body = []byte(answer.Reason() + "\n")
+		h.identify(header, r)
+		body = refusal(header, answer)
 	}
-	if id := r.Header.Get(h.names.RequestID); id != "" && answer.Reply() == nil {
-		header.Set(h.names.RequestID, id)
+	if h.life.Leaving() {
+		header.Set("Connection", "close")
 	}
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(answer.Status())
 	_, _ = w.Write(body)
 }
 
+// passOn sets the headers of a replica's answer, except those that concern the
+// connection to the replica.
+func passOn(header http.Header, reply *exchange.Reply) []byte {
+	for name, values := range reply.Header() {
+		header[name] = values
+	}
+	for _, name := range hopHeaders {
+		delete(header, name)
+	}
+	return reply.Body()
+}
+
+// merged sets the headers of an answer over many shards.
+func (h *Handler) merged(header http.Header, answer routing.Answer) []byte {
+	header.Set(h.names.Seals, strings.Join(answer.Seals(), ", "))
+	header.Set(h.names.Missing, strconv.Itoa(answer.Missing()))
+	header.Set("Content-Type", "application/octet-stream")
+	return answer.Body()
+}
+
+// refusal sets the headers of an answer of the daemon's own.
+func refusal(header http.Header, answer routing.Answer) []byte {
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if after := answer.RetryAfter(); after > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(float64(after/clock.Second), 'f', 3, 64))
+	}
+	return []byte(answer.Reason() + "\n")
+}
+
+// identify names the request in an answer that no replica named.
+func (h *Handler) identify(header http.Header, r *http.Request) {
+	if id := r.Header.Get(h.names.RequestID); id != "" {
+		header.Set(h.names.RequestID, id)
+	}
+}
+
 // ServerLimits are the limits of the HTTP server for callers.
 func ServerLimits(limits route.Limits) (headerBytes int, headerTimeout, idleTimeout clock.Millis) {
 	const (
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -171,12 +171,6 @@
 	g.log.Info("settings reloaded", "seeds", len(config.Seeds))
 }
 
-// Engine returns the engine.
-func (g *Gateway) Engine() *routing.Engine { return g.engine }
-
-// Members returns the known daemons.
-func (g *Gateway) Members() []fleet.Member { return g.roster.Members() }
-
 const (
 	// configWait is how long callers are not let in while the configuration is
 	// read; after it they are refused.
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -91,7 +91,6 @@
 	ID       string
 	Method   string
 	Target   string // as in the request line
-	Path     string // without the query
 	Host     string
 	Header   http.Header // without headers of one connection
 	Body     []byte
--- a/entry/upstreams/conn.go
+++ b/entry/upstreams/conn.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/entry/body"
 	"github.com/lovagegap/lovagegap/entry/socket"
 )
 
@@ -20,11 +21,8 @@
 	maxReplySize = 4 << 20
 )
 
-// Errors of an exchange on a connection.
-var (
-	errMalformed = errors.New("malformed reply")
-	errOversized = errors.New("reply too large")
-)
+// errMalformed means that a reply is not HTTP.
+var errMalformed = errors.New("malformed reply")
 
 // past is a deadline that ends reads and writes at once.
 var past = time.Unix(1, 0)
@@ -89,42 +87,25 @@
 	// The body is not closed: Close would read an oversized body to its end.
 	// After an error the connection is closed instead.
 	c.limited.N = maxReplySize + maxHeadSize
-	body, err := readBody(response)
+	data, err := body.Read(response, maxReplySize)
 	if err != nil {
 		return reply{}, c.readError(err)
 	}
 	return reply{
-		status: response.StatusCode, header: response.Header, body: body,
+		status: response.StatusCode, header: response.Header, body: data,
 		reusable: !response.Close && c.reader.Buffered() == 0,
 	}, nil
 }
 
-func readBody(response *http.Response) ([]byte, error) {
-	size := response.ContentLength
-	if size > maxReplySize {
-		return nil, errOversized
-	}
-	if size < 0 {
-		body, err := io.ReadAll(io.LimitReader(response.Body, maxReplySize+1))
-		if err == nil && len(body) > maxReplySize {
-			return nil, errOversized
-		}
-		return body, err
-	}
-	body := make([]byte, size)
-	_, err := io.ReadFull(response.Body, body)
-	return body, err
-}
-
 // readError tells a broken connection from a reply that is not HTTP or too
 // large.
 func (c *conn) readError(err error) error {
 	var network net.Error
 	switch {
-	case errors.Is(err, errOversized), errors.As(err, &network):
+	case errors.Is(err, body.ErrOversized), errors.As(err, &network):
 		return err
 	case c.limited.N <= 0:
-		return errOversized
+		return body.ErrOversized
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return err
 	default:
--- a/entry/upstreams/exchange.go
+++ b/entry/upstreams/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/lovagegap/lovagegap/core/query"
 	"github.com/lovagegap/lovagegap/core/snapshot"
 	"github.com/lovagegap/lovagegap/core/upstream"
+	"github.com/lovagegap/lovagegap/entry/body"
 )
 
 // Exchange is one sub-request to one upstream.
@@ -181,7 +182,7 @@
 		return upstream.Stale
 	case !sent:
 		return upstream.NotConnected
-	case errors.Is(err, errMalformed), errors.Is(err, errOversized):
+	case errors.Is(err, errMalformed), errors.Is(err, body.ErrOversized):
 		return upstream.Failed
 	case errors.As(err, &network) && network.Timeout():
 		return upstream.Timeout
