--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -104,6 +104,7 @@
 
 	front    net.Listener
 	control  net.Listener
+	callers  *http.Server
 	servers  []*http.Server
 	complete chan struct{} // closed once requests can be served
 	ready    atomic.Bool
@@ -179,7 +180,8 @@
 	stopReserve = 600 * clock.Millisecond
 	// closeShare of the grace passes before new connections are turned away.
 	closeShare = 0.78
-	stopPoll   = 25 * time.Millisecond
+	// lastWords is the time in which the last messages to peers leave.
+	lastWords = 50 * time.Millisecond
 )
 
 // Run serves until the planned stop, which the end of ctx begins, is complete.
@@ -226,12 +228,13 @@
 func (g *Gateway) serveCallers() {
 	limits, _ := g.engine.Limits()
 	headerBytes, headerTimeout, idleTimeout := front.ServerLimits(limits)
-	g.serve(g.front, &http.Server{
+	g.callers = &http.Server{
 		Handler:           front.New(g.engine, g.config.Headers, g),
 		ReadHeaderTimeout: headerTimeout.Duration(),
 		IdleTimeout:       idleTimeout.Duration(),
 		MaxHeaderBytes:    headerBytes,
-	})
+	}
+	g.serve(g.front, g.callers)
 }
 
 func (g *Gateway) serve(l net.Listener, server *http.Server) {
@@ -253,17 +256,15 @@
 	g.leaving.Store(true)
 	g.engine.StopAt(end)
 	g.roster.Leave()
-	g.sleepUntil(began+g.config.Grace*closeShare, func() bool { return false })
-	_ = g.front.Close()
-	g.sleepUntil(end+stopReserve/2, func() bool { return g.engine.Running() == 0 })
+	time.Sleep((began + g.config.Grace*closeShare - g.ports.Clock.Now()).Duration())
+	// Closes idle connections at once and the others after their answer, so
+	// that no request is taken that cannot be answered.
+	ctx, cancel := context.WithTimeout(context.Background(), (end + stopReserve/2 - g.ports.Clock.Now()).Duration())
+	defer cancel()
+	if err := g.callers.Shutdown(ctx); err != nil {
+		g.log.Info("callers are still connected at the end", "running", g.engine.Running())
+	}
 	g.roster.Left()
-	// Lets the last answers and the last message to the peers leave.
-	time.Sleep(2 * stopPoll)
+	time.Sleep(lastWords)
 	g.log.Info("planned stop is complete", "running", g.engine.Running())
 }
-
-func (g *Gateway) sleepUntil(at clock.Millis, done func() bool) {
-	for g.ports.Clock.Now() < at && !done() {
-		time.Sleep(stopPoll)
-	}
-}
