routing, telemetry: no work for each request that is needed only now and then

The fingerprint of every request was hashed twice although nothing was suspected, and each exchange put the names of its counters together anew. A quarantine that holds nothing is asked first now, and names are put together once. The sorted list of data centres uses maps.Keys. Behaviour is the same.

--- a/core/dispatch/shard.go
+++ b/core/dispatch/shard.go
@@ -180,10 +180,7 @@
 		return
 	}
 	s.hedgeAt = now + recheck
-	if now+q.expected/2 > q.final {
-		return
-	}
-	if q.crowded(now, s) {
+	if now+q.expected/2 > q.final || q.crowded(now, s) {
 		return
 	}
 	r, err := q.pick(now, s)
--- a/core/quarantine/list.go
+++ b/core/quarantine/list.go
@@ -69,6 +69,10 @@
 	return false
 }
 
+// Idle reports whether the list holds nothing, so that callers can spare
+// themselves the fingerprint.
+func (l *List) Idle() bool { return len(l.suspects) == 0 && len(l.blocked) == 0 }
+
 // Suspect reports whether an upstream was lost with the fingerprint in flight
 // and the fingerprint has not completed since.
 func (l *List) Suspect(now clock.Millis, f Fingerprint) bool {
--- a/entry/routing/crash.go
+++ b/entry/routing/crash.go
@@ -35,7 +35,7 @@
 // quarantined reports whether the request is kept away. The caller holds the
 // lock.
 func (e *Engine) quarantined(now clock.Millis, request *Request) bool {
-	return e.crashes.list.Blocked(now, request.fingerprint())
+	return !e.crashes.list.Idle() && e.crashes.list.Blocked(now, request.fingerprint())
 }
 
 // noteCrash takes the end of a request. The caller holds the lock.
@@ -43,6 +43,9 @@
 	e := c.engine
 	switch outcome {
 	case dispatch.Answered, dispatch.Gathered:
+		if e.crashes.list.Idle() {
+			return
+		}
 		if f := c.request.fingerprint(); e.crashes.list.Suspect(now, f) {
 			e.crashes.list.Success(now, f)
 		}
--- a/entry/routing/facts.go
+++ b/entry/routing/facts.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/lovagegap/lovagegap/core/clock"
@@ -68,12 +69,7 @@
 }
 
 func (e *Engine) setOut(change, dataCentre string) {
-	out := make([]string, 0, len(e.out))
-	for name := range e.out {
-		out = append(out, name)
-	}
-	slices.Sort(out)
-	e.set.SetOut(out)
+	e.set.SetOut(slices.Sorted(maps.Keys(e.out)))
 	e.parts.Log.Info("data centre "+change, "dataCentre", dataCentre)
 }
 
--- a/entry/telemetry/routes.go
+++ b/entry/telemetry/routes.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -35,6 +36,7 @@
 type routeSeries struct {
 	latency  metrics.Histogram
 	outcomes map[string]metrics.Counter
+	statuses map[string]metrics.Counter
 	missing  metrics.Counter
 }
 
@@ -57,16 +59,16 @@
 func (t *Routes) Sent(_, service, purpose string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.service(service)
-	t.count(s.sent, "service."+s.name(service, t)+".sent.", purpose)
+	s, name := t.service(service)
+	t.count(s.sent, purpose, "service", name, "sent")
 }
 
 // Ended counts the end of an exchange.
 func (t *Routes) Ended(service, result string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.service(service)
-	t.count(s.ended, "service."+s.name(service, t)+".ended.", result)
+	s, name := t.service(service)
+	t.count(s.ended, result, "service", name, "ended")
 }
 
 // Finished counts an answer.
@@ -74,19 +76,22 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, name := t.route(route)
-	t.count(s.outcomes, "route."+name+".outcome.", outcome)
-	t.count(s.outcomes, "route."+name+".status.", fmt.Sprint(status))
+	t.count(s.outcomes, outcome, "route", name, "outcome")
+	t.count(s.statuses, strconv.Itoa(status), "route", name, "status")
 	s.latency.Update(int64(latency * secondsFactor))
 	if missing > 0 {
 		s.missing.Inc(1)
 	}
 }
 
-func (t *Routes) count(known map[string]metrics.Counter, prefix, word string) {
-	c := known[prefix+word]
+// count counts a word of a series. The name of the counter is put together only
+// when the word comes for the first time.
+func (t *Routes) count(known map[string]metrics.Counter, word string, name ...string) {
+	c := known[word]
 	if c == nil {
-		c = metrics.GetOrRegisterCounter(prefix+strings.ReplaceAll(word, " ", "-"), t.Registry())
-		known[prefix+word] = c
+		full := strings.Join(append(name, strings.ReplaceAll(word, " ", "-")), ".")
+		c = metrics.GetOrRegisterCounter(full, t.Registry())
+		known[word] = c
 	}
 	c.Inc(1)
 }
@@ -101,6 +106,7 @@
 		s = &routeSeries{
 			latency:  metrics.NewHistogram(metrics.NewUniformSample(routeSample)),
 			outcomes: make(map[string]metrics.Counter),
+			statuses: make(map[string]metrics.Counter),
 			missing:  metrics.NewRegisteredCounter("route."+name+".partial", registry),
 		}
 		_ = registry.Register("route."+name+".latency", s.latency)
@@ -109,7 +115,7 @@
 	return s, name
 }
 
-func (t *Routes) service(name string) *serviceSeries {
+func (t *Routes) service(name string) (*serviceSeries, string) {
 	t.Registry()
 	if t.services[name] == nil && len(t.services) >= maxServices {
 		name = overflow
@@ -119,15 +125,7 @@
 		s = &serviceSeries{sent: make(map[string]metrics.Counter), ended: make(map[string]metrics.Counter)}
 		t.services[name] = s
 	}
-	return s
-}
-
-// name returns the name under which a service is counted.
-func (s *serviceSeries) name(service string, t *Routes) string {
-	if t.services[service] == s {
-		return service
-	}
-	return overflow
+	return s, name
 }
 
 // WriteText writes the figures as text, a name and a value on each line, in
