logs: the count of dropped lines is kept when it is reported

The counts were cleared by the line that reports them, so a second that changed within the last 200 of the test's lines left nothing to count. Ruled out: a writer that was read (nobody reads the pipe), the 2 s bound (0.19 s). Before: the new test with a manual clock fails, 5 expected, 0 seen. After: passes; both tests 20 times in a row.

--- a/entry/logs/logs.go
+++ b/entry/logs/logs.go
@@ -62,6 +62,7 @@
 	written int
 	limited int64
 	full    int64
+	dropped int64
 }
 
 // New returns a sink that writes to w on a goroutine of its own.
@@ -124,10 +125,14 @@
 	}
 	if s.written >= linesPerSecond {
 		s.limited++
+		s.dropped++
 		return
 	}
 	s.written++
-	s.put(line)
+	if !s.put(line) {
+		s.full++
+		s.dropped++
+	}
 }
 
 func (s *Sink) put(line string) bool {
@@ -135,7 +140,6 @@
 	case s.lines <- line:
 		return true
 	default:
-		s.full++
 		return false
 	}
 }
@@ -145,19 +149,18 @@
 	if s.limited+s.full == 0 {
 		return
 	}
-	full := s.full
 	line := `{"logger":"logs","level":0,"msg":"lines dropped","overRate":` + strconv.FormatInt(s.limited, 10) +
-		`,"queueFull":` + strconv.FormatInt(full, 10) + `}`
+		`,"queueFull":` + strconv.FormatInt(s.full, 10) + `}`
 	if s.put(line) {
-		s.limited, s.full = 0, s.full-full
+		s.limited, s.full = 0, 0
 	}
 }
 
-// Dropped returns the lines that were dropped and not reported yet.
+// Dropped returns the number of lines that were dropped since the start.
 func (s *Sink) Dropped() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.limited + s.full
+	return s.dropped
 }
 
 func (s *Sink) run(w io.Writer) {
--- a/entry/logs/logs_test.go
+++ b/entry/logs/logs_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/lovagegap/lovagegap/core/clock"
 )
 
 type buffer struct {
@@ -45,6 +47,24 @@
 	assert.Positive(t, sink.Dropped())
 }
 
+// Guards against a count of dropped lines that starts again once it was
+// reported: a change of the second just before the end made it 0.
+func TestDroppedCountSurvivesItsReport(t *testing.T) {
+	var out buffer
+	var manual clock.Manual
+	sink := New(&out)
+	sink.clock = manual.Clock()
+	log := sink.Logger()
+	for range linesPerSecond + 5 {
+		log.Info("request failed")
+	}
+	manual.Advance(clock.Second)
+	log.Info("request failed")
+	sink.Close()
+	assert.EqualValues(t, 5, sink.Dropped())
+	assert.Contains(t, strings.Join(out.lines(), "\n"), `"overRate":5`)
+}
+
 // Guards against logs that grow with the load: ten times the lines of a second
 // are cut to the rate, and the rest is counted and said.
 func TestVolumeIsBounded(t *testing.T) {
