dispatch, roster, gateway: a data centre that is cut off names daemons of others

Ruled out: membership alone, as it cannot tell a cut from the loss of all others, and the other data centres, which drop the daemons in time. A daemon now counts its unserved requests and the exchanges with other data centres that stay without any answer; cut off, it names those daemons that it heard of last, until one is heard of again. What is left is the first second and the time for which callers keep addresses.

--- a/core/dispatch/action.go
+++ b/core/dispatch/action.go
@@ -98,6 +98,7 @@
 	parts      []int
 	missing    []string
 	retryAfter clock.Millis
+	busy       bool
 	reason     string
 }
 
@@ -116,5 +117,8 @@
 // RetryAfter returns when a refused request may find room.
 func (o Outcome) RetryAfter() clock.Millis { return o.retryAfter }
 
+// Busy reports whether a request was refused because of the load.
+func (o Outcome) Busy() bool { return o.busy }
+
 // Reason says in a few words why the request ended so.
 func (o Outcome) Reason() string { return o.reason }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -133,7 +133,7 @@
 		return q.refuse(now, q.reason("no replica of the service", "too few shards have a replica"))
 	}
 	if ok, after := q.admitted(now); !ok {
-		return q.finish(Outcome{kind: Refused, retryAfter: min(maxRetryAfter, max(minRetryAfter, after)), reason: "too much work is waiting"})
+		return q.finish(Outcome{kind: Refused, retryAfter: min(maxRetryAfter, max(minRetryAfter, after)), busy: true, reason: "too much work is waiting"})
 	}
 	for i := range q.shards {
 		q.first(now, i)
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -115,6 +115,9 @@
 // NotRun reports whether the result proves that the request did not run.
 func (r Result) NotRun() bool { return r == Shed || r == Foreign || r == NotConnected }
 
+// Answered reports whether the replica has sent an answer of any kind.
+func (r Result) Answered() bool { return r == OK || r == Failed || r == Shed || r == Foreign }
+
 // Arrived reports whether the replica may count the request as an arrival.
 func (r Result) Arrived() bool { return r != NotConnected }
 
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -109,6 +109,7 @@
 	complete chan struct{} // closed once requests can be served
 	ready    atomic.Bool
 	leaving  atomic.Bool
+	cutOff   atomic.Bool
 	wait     sync.WaitGroup
 }
 
@@ -157,8 +158,16 @@
 func (g *Gateway) Leaving() bool { return g.leaving.Load() }
 
 // Advice returns the addresses for a caller in a data centre and how long they
-// may be used.
+// may be used. A daemon whose data centre is cut off names those of others.
 func (g *Gateway) Advice(dataCentre string) ([]string, clock.Millis) {
+	elsewhere, linked := g.roster.Elsewhere()
+	cutOff := g.engine.CutOff(linked)
+	if g.cutOff.Swap(cutOff) != cutOff {
+		g.log.Info("data centre cut off from the others", "cutOff", cutOff, "linked", linked)
+	}
+	if cutOff && len(elsewhere) > 0 {
+		return elsewhere, g.config.Lifetime
+	}
 	return g.roster.Addresses(dataCentre), g.config.Lifetime
 }
 
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -65,6 +66,7 @@
 	began      clock.Millis
 	joined     bool // whether the seeds had time to answer
 	serving    []fleet.Member
+	lastServed map[string]clock.Millis // daemons of other data centres, by address for callers
 }
 
 // New returns the roster of a daemon that starts.
@@ -72,6 +74,7 @@
 	return &Roster{
 		parts: parts, membership: fleet.New(parts.Self, parts.Random, nil),
 		seeds: make(map[fleet.ID]bool), daemons: 1, began: parts.Clock.Now(),
+		lastServed: make(map[string]clock.Millis),
 	}
 }
 
@@ -163,10 +166,58 @@
 			r.serving = append(r.serving, m)
 		}
 	}
+	r.remember()
 	r.count()
 	r.parts.Sources(r.sources())
 }
 
+const (
+	// remembered is how long a daemon that is not heard of any more is still
+	// named by one that is cut off itself.
+	remembered = 20 * clock.Second
+	// alone is how long it is remembered while others are heard of.
+	alone = 6 * clock.Second
+)
+
+// remember notes which daemons of other data centres serve callers, and returns
+// their addresses for callers.
+func (r *Roster) remember() []string {
+	now := r.parts.Clock.Now()
+	var serving []string
+	for _, m := range r.serving {
+		if m.DataCentre() != r.parts.Self.DataCentre() {
+			serving = append(serving, m.Callers())
+			r.lastServed[m.Callers()] = now
+		}
+	}
+	for _, m := range r.membership.Members() {
+		if m.State() == fleet.Leaving || m.State() == fleet.Left {
+			delete(r.lastServed, m.Callers())
+		}
+	}
+	limit := remembered
+	if len(serving) > 0 {
+		limit = alone
+	}
+	maps.DeleteFunc(r.lastServed, func(_ string, at clock.Millis) bool { return now-at > limit })
+	return serving
+}
+
+// Elsewhere returns the callers' addresses of the daemons of other data centres
+// that serve, and whether there are any. If there are none, it returns those
+// that served when they were last heard of.
+func (r *Roster) Elsewhere() (addresses []string, linked bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	addresses = r.remember()
+	linked = len(addresses) > 0
+	if !linked {
+		addresses = slices.Collect(maps.Keys(r.lastServed))
+	}
+	r.parts.Random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(len(addresses), maxAddresses)], linked
+}
+
 // maxSources bounds the peers that a daemon may follow.
 const maxSources = 3
 
--- a/entry/routing/call.go
+++ b/entry/routing/call.go
@@ -6,6 +6,7 @@
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/dispatch"
+	"github.com/lovagegap/lovagegap/core/replica"
 	"github.com/lovagegap/lovagegap/core/route"
 	"github.com/lovagegap/lovagegap/entry/exchange"
 )
@@ -82,19 +83,25 @@
 	})
 	c.exchanges = append(c.exchanges, x)
 	c.replies = append(c.replies, nil)
+	if e.far(action.Replica()) {
+		e.reach.Asked()
+	}
 	c.traceSend(now, action)
 	e.parts.Meter.Sent(c.route.Name(), entry.Service(), action.Purpose().String())
-	go c.run(x, action.Attempt(), entry.Service())
+	go c.run(x, action.Attempt(), action.Replica())
 }
 
-func (c *call) run(x *exchange.Exchange, attempt int, service string) {
+func (c *call) run(x *exchange.Exchange, attempt int, asked *replica.Replica) {
 	reply, result := x.Run()
 	e := c.engine
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	c.replies[attempt] = reply
-	e.parts.Meter.Ended(service, result.String())
 	now := e.parts.Clock.Now()
+	e.parts.Meter.Ended(asked.Entry().Service(), result.String())
+	if result.Answered() && e.far(asked) {
+		e.reach.Answered(now)
+	}
 	if !c.finished {
 		c.traceEnd(now, attempt, result.String())
 	}
@@ -151,7 +158,9 @@
 	case dispatch.Gone:
 		answer = Answer{status: statusCallerLeft, gone: true}
 	}
-	c.noteCrash(c.engine.parts.Clock.Now(), outcome.Kind())
+	now := c.engine.parts.Clock.Now()
+	c.engine.reach.Finished(now, outcome)
+	c.noteCrash(now, outcome.Kind())
 	c.finish(answer, outcome.Kind().String(), outcome.Missing())
 }
 
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -66,6 +66,7 @@
 	gates    map[string]*dispatch.Gate // by the first service of a route
 	urgent   map[string]int            // highest priority of the routes to a service
 	running  map[*call]struct{}
+	reach    dispatch.Reach
 	crashes  crashes
 	stopAt   clock.Millis // instant at which the daemon ends, or 0
 	viewed   clock.Millis // instant up to which the store is known
@@ -191,6 +192,17 @@
 	e.stopAt = at
 }
 
+// CutOff reports whether callers are served better by daemons of other data
+// centres. Linked says whether this daemon has links to some of them.
+func (e *Engine) CutOff(linked bool) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.reach.CutOff(e.parts.Clock.Now(), linked)
+}
+
+// far reports whether a replica is in another data centre.
+func (e *Engine) far(r *replica.Replica) bool { return r.Entry().DataCentre() != e.parts.DataCentre }
+
 // Viewed says up to which instant the store is known.
 func (e *Engine) Viewed(at clock.Millis) {
 	e.mu.Lock()
