--- a/core/replica/pool.go
+++ b/core/replica/pool.go
@@ -148,6 +148,43 @@
 	return states
 }
 
+// stateReady is the state of a replica without any evidence against it.
+const stateReady = "ready"
+
+// beliefGap is the least time between two changes of belief of a replica that
+// are told, so that one at a threshold does not fill the logs.
+const beliefGap = clock.Second
+
+// Belief is what a daemon believes of a replica, with the evidence.
+type Belief struct {
+	state, before     string
+	slowness, failing float64
+}
+
+// State returns what is believed now, as in Set.States.
+func (b Belief) State() string { return b.state }
+
+// Before returns what was told before.
+func (b Belief) Before() string { return b.before }
+
+// Slowness returns how long the last answers took relative to the usual latency.
+func (b Belief) Slowness() float64 { return b.slowness }
+
+// Failing returns the share of the last exchanges that failed.
+func (b Belief) Failing() float64 { return b.failing }
+
+// Belief returns what is believed of the replica, and whether that has changed
+// since it was last told.
+func (r *Replica) Belief(now clock.Millis) (Belief, bool) {
+	state := r.state(now)
+	before := cmp.Or(r.believed, stateReady)
+	if state == before || now-r.believedAt < beliefGap {
+		return Belief{}, false
+	}
+	r.believed, r.believedAt = state, now
+	return Belief{state: state, before: before, slowness: r.slowness(now), failing: r.failures(now)}, true
+}
+
 func (r *Replica) state(now clock.Millis) string {
 	switch {
 	case r.entry.Draining():
@@ -165,7 +202,7 @@
 	case r.failures(now) >= tellFailing:
 		return "failing"
 	default:
-		return "ready"
+		return stateReady
 	}
 }
 
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -166,6 +166,9 @@
 	drainSeen clock.Millis
 	coldUntil clock.Millis
 	coldNext  clock.Millis // earliest instant of the next request while cold
+
+	believed   string // state told last, "" for ready
+	believedAt clock.Millis
 }
 
 // exchange is an unanswered exchange.
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -60,24 +60,30 @@
 	path := pathOf(r)
 	found, refused := h.engine.Admit(r.Host, path)
 	if found == nil {
+		h.engine.LogRejected(r.Header.Get(h.names.RequestID), r.Host, path, refused.Status(), refused.Reason())
 		h.write(w, r, refused)
 		return
 	}
 	body, err := h.readBody(r)
 	switch {
 	case errors.Is(err, errTooLarge):
-		w.Header().Set("Connection", "close")
-		http.Error(w, "the body is too large", http.StatusRequestEntityTooLarge)
+		h.reject(w, r, path, http.StatusRequestEntityTooLarge, "the body is too large")
 		return
 	case err != nil:
-		w.Header().Set("Connection", "close")
-		http.Error(w, "the body is incomplete", http.StatusBadRequest)
+		h.reject(w, r, path, http.StatusBadRequest, "the body is incomplete")
 		return
 	}
 	answer := h.engine.Do(r.Context(), found, h.request(r, body))
 	h.write(w, r, answer)
 }
 
+// reject answers a request whose body cannot be read to its end.
+func (h *Handler) reject(w http.ResponseWriter, r *http.Request, path string, status int, reason string) {
+	h.engine.LogRejected(r.Header.Get(h.names.RequestID), r.Host, path, status, reason)
+	w.Header().Set("Connection", "close")
+	http.Error(w, reason, status)
+}
+
 // pathOf returns the path as the caller sent it.
 func pathOf(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -27,6 +27,7 @@
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/fleet"
+	"github.com/lovagegap/lovagegap/core/journal"
 )
 
 // Links carries messages to other daemons. An error means that no byte was
@@ -72,12 +73,21 @@
 // New returns the roster of a daemon that starts.
 func New(parts Parts) *Roster {
 	return &Roster{
-		parts: parts, membership: fleet.New(parts.Self, parts.Random, nil),
+		parts: parts, membership: fleet.New(parts.Self, parts.Random, memberLog{parts.Log}),
 		seeds: make(map[fleet.ID]bool), daemons: 1, began: parts.Clock.Now(),
 		lastServed: make(map[string]clock.Millis),
 	}
 }
 
+// memberLog writes a line for each change of the view of the members, and for a
+// pause of this daemon.
+type memberLog struct{ log logr.Logger }
+
+// Add takes a change from the membership.
+func (l memberLog) Add(_ clock.Millis, _ journal.Kind, subject, cause string) {
+	l.log.Info("member changed", "member", subject, "cause", cause)
+}
+
 // Connect gives the roster its links. It must be called before Run.
 func (r *Roster) Connect(links Links) { r.links = links }
 
--- a/entry/routing/call.go
+++ b/entry/routing/call.go
@@ -106,6 +106,7 @@
 		c.traceEnd(now, attempt, result.String())
 	}
 	c.perform(now, c.state.Ended(now, attempt, result))
+	e.logBelief(now, asked, result)
 }
 
 func (c *call) wake(now, at clock.Millis) {
--- a/entry/routing/trace.go
+++ b/entry/routing/trace.go
@@ -5,6 +5,7 @@
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/dispatch"
+	"github.com/lovagegap/lovagegap/core/replica"
 )
 
 // step is what happened to one exchange of a request, for its log line.
@@ -73,6 +74,24 @@
 	e.parts.Log.V(level).Info(message, append(values, "exchanges", c.notable(elapsed))...)
 }
 
+// LogRejected writes the line of a request that was answered before it reached a
+// route or before its body was read.
+func (e *Engine) LogRejected(id, host, path string, status int, reason string) {
+	e.parts.Log.Info("request rejected", "request", id, "host", host, "path", path,
+		"version", e.Version(), "status", status, "reason", reason)
+}
+
+// logBelief writes a line when what the daemon believes of a replica changes.
+// The caller holds the lock.
+func (e *Engine) logBelief(now clock.Millis, r *replica.Replica, result replica.Result) {
+	if belief, changed := r.Belief(now); changed {
+		entry := r.Entry()
+		e.parts.Log.V(1).Info("replica is "+belief.State(), "replica", entry.ID(), "service", entry.Service(),
+			"before", belief.Before(), "result", result.String(), "slowness", belief.Slowness(), "failing", belief.Failing(),
+			"inFlight", r.InFlight(), "listedAgo", round(now-e.viewed))
+	}
+}
+
 // maxSteps bounds the exchanges in a log line.
 const maxSteps = 12
 
