exchange: a rejection of a shard's replica is no part of an answer

Cause, found by a test of the log lines: an answer with a status of 300 to 499 counted as good, since on a route to one replica it is passed on as it is. On a route over many shards it became a part, with the replica's proof or with none, and the coverage was not true. Ruled out: 5xx and successes without proof, which were no parts before. Before: TestRejectionOfAShardIsNoPart fails (no shard missing, three proofs of which one is empty). After: passes.

--- a/entry/exchange/exchange.go
+++ b/entry/exchange/exchange.go
@@ -47,6 +47,9 @@
 	// Fresh asks for a connection of its own. Whether a request ran is then
 	// known also if the replica closes its idle connections.
 	Fresh bool
+	// Part says that the answer is one of many that are merged, so that
+	// nothing but a success can be used.
+	Part bool
 }
 
 // Reply is an answer of a replica that was read completely.
@@ -220,7 +223,8 @@
 		return replica.Foreign
 	case reply.header.Get(names.NotRun) != "":
 		return replica.Shed
-	case reply.status >= http.StatusInternalServerError:
+	case reply.status >= http.StatusInternalServerError,
+		x.spec.Part && reply.status >= http.StatusMultipleChoices:
 		return replica.Failed
 	case reply.status < http.StatusMultipleChoices && (reply.seal == "" || reply.header.Get("Content-Encoding") != ""):
 		return replica.Failed
--- a/entry/routing/call.go
+++ b/entry/routing/call.go
@@ -79,7 +79,7 @@
 		Address: entry.Address(), Instance: entry.ID(),
 		Method: c.request.Method, Target: c.request.Target, Host: c.request.Host,
 		Header: c.request.Header, Body: c.request.Body, Request: c.request.ID,
-		Deadline: action.At(), Fresh: !c.route.Idempotent(),
+		Deadline: action.At(), Fresh: !c.route.Idempotent(), Part: len(c.route.Shards()) > 0,
 	})
 	c.exchanges = append(c.exchanges, x)
 	c.replies = append(c.replies, nil)
