front: the limits of callers are those of the configuration in force; a body must come in time

Cause: header size and the timeouts for headers and idle connections were read once, when the server for callers began, so a change of the limits was in force only after a restart. A body that never came held a request for ever. Timeouts of the server are placeholders now, which the connections replace when a wait begins; the size of the header is checked for each request; a body that does not come within the route's timeout is answered 408, as it has not run. Ruled out: a new server for each change, since open connections would keep the old limits. Before: limits of the first configuration (no test could tell). After: TestLimitsInForceAreThoseOfTheNewestConfiguration, TestBodyThatNeverComesIsAnswered.

--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -7,19 +7,21 @@
 // # Usage
 //
 //	handler := front.New(engine, front.Names{…}, life)
-//	server := &http.Server{Handler: handler}
+//	server := front.NewServer(handler)
+//	err := server.Serve(front.Listen(listener, engine.Limits))
 package front
 
 import (
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagegap/lovagegap/core/clock"
-	"github.com/lovagegap/lovagegap/core/route"
 	"github.com/lovagegap/lovagegap/entry/exchange"
 	"github.com/lovagegap/lovagegap/entry/routing"
 )
@@ -39,8 +41,6 @@
 	Leaving() bool
 }
 
-const defaultBodyBytes = 1 << 20
-
 var errTooLarge = errors.New("body too large")
 
 // Handler serves callers. It is safe for concurrent use.
@@ -58,17 +58,25 @@
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	path := pathOf(r)
+	limits, _ := h.engine.Limits()
+	if headerSize(r) > orDefault(limits.HeaderBytes(), defaultHeaderBytes) {
+		h.reject(w, r, path, http.StatusRequestHeaderFieldsTooLarge, "the header is too large")
+		return
+	}
 	found, refused := h.engine.Admit(r.Host, path)
 	if found == nil {
 		h.engine.LogRejected(r.Header.Get(h.names.RequestID), r.Host, path, refused.Status(), refused.Reason())
 		h.write(w, r, refused)
 		return
 	}
-	body, err := h.readBody(r)
+	body, err := h.readBody(w, r, found.Timeout(), int64(orDefault(limits.BodyBytes(), defaultBodyBytes)))
 	switch {
 	case errors.Is(err, errTooLarge):
 		h.reject(w, r, path, http.StatusRequestEntityTooLarge, "the body is too large")
 		return
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		h.reject(w, r, path, http.StatusRequestTimeout, "the body did not come in time")
+		return
 	case err != nil:
 		h.reject(w, r, path, http.StatusBadRequest, "the body is incomplete")
 		return
@@ -93,14 +101,14 @@
 	return r.URL.EscapedPath()
 }
 
-func (h *Handler) readBody(r *http.Request) ([]byte, error) {
+// readBody reads the body, which must come within the timeout.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, timeout clock.Millis, limit int64) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil, nil
 	}
-	limit := int64(defaultBodyBytes)
-	if limits, ok := h.engine.Limits(); ok && limits.BodyBytes() > 0 {
-		limit = int64(limits.BodyBytes())
-	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(timeout.Duration()))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	if r.ContentLength > limit {
 		return nil, errTooLarge
 	}
@@ -214,23 +222,3 @@
 		header.Set(h.names.RequestID, id)
 	}
 }
-
-// ServerLimits are the limits of the HTTP server for callers.
-func ServerLimits(limits route.Limits) (headerBytes int, headerTimeout, idleTimeout clock.Millis) {
-	const (
-		defaultHeaderBytes = 16 << 10
-		defaultHeader      = 3 * clock.Second
-		defaultIdle        = 15 * clock.Second
-	)
-	headerBytes, headerTimeout, idleTimeout = defaultHeaderBytes, defaultHeader, defaultIdle
-	if limits.HeaderBytes() > 0 {
-		headerBytes = limits.HeaderBytes()
-	}
-	if limits.HeaderTimeout() > 0 {
-		headerTimeout = limits.HeaderTimeout()
-	}
-	if limits.IdleTimeout() > 0 {
-		idleTimeout = limits.IdleTimeout()
-	}
-	return headerBytes, headerTimeout, idleTimeout
-}
--- /dev/null
+++ b/entry/front/limits_test.go
@@ -0,0 +1,161 @@
+package front
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/replica"
+	"github.com/lovagegap/lovagegap/core/route"
+	"github.com/lovagegap/lovagegap/entry/exchange"
+	"github.com/lovagegap/lovagegap/entry/routing"
+	"github.com/lovagegap/lovagegap/entry/telemetry"
+)
+
+type staying struct{}
+
+func (staying) Leaving() bool { return false }
+
+// daemon serves callers on one route without replicas.
+type daemon struct {
+	t       *testing.T
+	engine  *routing.Engine
+	address string
+	version uint64
+}
+
+func newDaemon(t *testing.T) *daemon {
+	d := &daemon{t: t, engine: routing.New(routing.Parts{
+		Log: logr.Discard(), Names: exchange.Names{}, Random: rand.New(rand.NewPCG(1, 2)),
+		Budget: replica.BudgetPolicy{Span: clock.Second}, Meter: &telemetry.Routes{},
+	})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	d.address = l.Addr().String()
+	server := NewServer(New(d.engine, Names{RequestID: "Id", Deadline: "Left", Expect: "Expect-Id"}, staying{}))
+	go func() { _ = server.Serve(Listen(l, d.engine.Limits)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return d
+}
+
+func (d *daemon) limit(headerBytes, bodyBytes int, headerTimeout, idleTimeout clock.Millis) {
+	d.version++
+	r, err := route.NewRoute(route.Spec{
+		Name: "r", Host: "h", Prefix: "/", Idempotent: true, Timeout: 200, Objective: 100, Attempts: 1,
+		Splits: []route.Split{route.NewSplit("s", 1)},
+	})
+	require.NoError(d.t, err)
+	table, err := route.NewTable(d.version, []*route.Route{r}, []route.Service{route.NewService("s", 1, 0)},
+		route.NewLimits(headerBytes, bodyBytes, headerTimeout, idleTimeout))
+	require.NoError(d.t, err)
+	d.engine.Learn([]routing.Fact{{Table: table}})
+}
+
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (d *daemon) dial() *caller {
+	c, err := net.Dial("tcp", d.address)
+	require.NoError(d.t, err)
+	d.t.Cleanup(func() { _ = c.Close() })
+	require.NoError(d.t, c.SetDeadline(time.Now().Add(5*time.Second)))
+	return &caller{Conn: c, reader: bufio.NewReader(c)}
+}
+
+// status sends text and returns the status of the answer, or 0 if the
+// connection ends without one.
+func (c *caller) status(text string) int {
+	if _, err := io.WriteString(c, text); err != nil {
+		return 0
+	}
+	reply, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, reply.Body)
+	return reply.StatusCode
+}
+
+// endsAfter returns how long the connection stays open.
+func (c *caller) endsAfter() time.Duration {
+	began := time.Now()
+	_, _ = c.reader.ReadByte()
+	return time.Since(began)
+}
+
+const (
+	head = "POST /a HTTP/1.1\r\nHost: h\r\nLeft: 5000\r\n"
+	// unserved is what a request gets that keeps to all limits, since the route
+	// has no replica.
+	unserved = http.StatusServiceUnavailable
+)
+
+// Guards against limits of callers that stay those of the first configuration
+// that a process has seen.
+func TestLimitsInForceAreThoseOfTheNewestConfiguration(t *testing.T) {
+	d := newDaemon(t)
+	d.limit(0, 0, 0, 0)
+	open := d.dial()
+	large := head + "Extra: " + strings.Repeat("x", 2000) + "\r\nContent-Length: 0\r\n\r\n"
+	require.Equal(t, unserved, open.status(large))
+
+	d.limit(1000, 10, 150, 300)
+	assert.Equal(t, http.StatusRequestHeaderFieldsTooLarge, d.dial().status(large))
+	assert.Equal(t, http.StatusRequestEntityTooLarge, d.dial().status(head+"Content-Length: 11\r\n\r\n"))
+	assert.Equal(t, http.StatusRequestEntityTooLarge,
+		d.dial().status(head+"Transfer-Encoding: chunked\r\n\r\n6\r\nabcdef\r\n6\r\nabcdef\r\n0\r\n\r\n"))
+	small := head + "Content-Length: 2\r\n\r\nab"
+	require.Equal(t, unserved, open.status(small), "a connection from before goes on")
+	assert.InDelta(t, 300, open.endsAfter().Milliseconds(), 200, "idle")
+
+	half := d.dial()
+	_, _ = io.WriteString(half, head)
+	assert.Less(t, half.endsAfter(), time.Second, "a header that is never complete")
+
+	d.limit(0, 0, 0, 60*clock.Second)
+	raised := d.dial()
+	require.Equal(t, unserved, raised.status(large))
+	time.Sleep(700 * time.Millisecond)
+	assert.Equal(t, unserved, raised.status(small), "idle for longer than the limit before")
+}
+
+// Guards against a caller that sends half a body and holds the daemon for ever.
+func TestBodyThatNeverComesIsAnswered(t *testing.T) {
+	d := newDaemon(t)
+	d.limit(0, 0, 0, 0)
+	for name, rest := range map[string]string{
+		"length":  "Content-Length: 9\r\n\r\nabc",
+		"chunked": "Transfer-Encoding: chunked\r\n\r\n6\r\nabc",
+	} {
+		t.Run(name, func(t *testing.T) {
+			began := time.Now()
+			assert.Equal(t, http.StatusRequestTimeout, d.dial().status(head+rest))
+			assert.Less(t, time.Since(began), 2*time.Second)
+		})
+	}
+	for name, wrong := range map[string]string{
+		"ends early": "Content-Length: 9\r\n\r\nabc",
+		"no chunk":   "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := d.dial()
+			_, _ = io.WriteString(c, head+wrong)
+			require.NoError(t, c.Conn.(*net.TCPConn).CloseWrite())
+			status := c.status("")
+			assert.Contains(t, []int{http.StatusBadRequest, 0}, status, fmt.Sprint("status ", status))
+		})
+	}
+}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -235,15 +235,8 @@
 }
 
 func (g *Gateway) serveCallers() {
-	limits, _ := g.engine.Limits()
-	headerBytes, headerTimeout, idleTimeout := front.ServerLimits(limits)
-	g.callers = &http.Server{
-		Handler:           front.New(g.engine, g.config.Headers, g),
-		ReadHeaderTimeout: headerTimeout.Duration(),
-		IdleTimeout:       idleTimeout.Duration(),
-		MaxHeaderBytes:    headerBytes,
-	}
-	g.serve(g.front, g.callers)
+	g.callers = front.NewServer(front.New(g.engine, g.config.Headers, g))
+	g.serve(front.Listen(g.front, g.engine.Limits), g.callers)
 }
 
 func (g *Gateway) serve(l net.Listener, server *http.Server) {
