gateway: observations of replicas are merged before they go to followers

Cause: each reply to a follower repeated the lists of all other followers, up to 99 lists of 256 replicas at 300 daemons in 3 data centres, and the daemon that is followed collected its own evidence for each of them. Now each replica stands once in a reply, with the worst that another daemon has seen, at most 256; merged every 100 ms. Tests: TestRepliesDoNotGrowWithTheFollowers (99 lists, one of them as long as the bound), TestEachDaemonHearsTheWorstOfTheOthers.

--- a/entry/gateway/view.go
+++ b/entry/gateway/view.go
@@ -35,23 +35,14 @@
 	known      bool
 	registered bool
 	news       chan struct{} // closed when the mirror changes
-	told       map[string]toldObservations
+	observed   observed
 	calls      map[string]int64 // by kind and outcome
 }
 
-// toldObservations is what a daemon that follows this one has observed.
-type toldObservations struct {
-	at       clock.Millis
-	observed []viewObservation
-}
-
-// toldTime is how long observations of a daemon are passed on.
-const toldTime = 2 * clock.Second
-
 func newView(g *Gateway) *view {
 	v := &view{
 		gateway: g, log: g.log.WithName("store"), store: g.ports.Store, random: derive(g.ports.Random),
-		news: make(chan struct{}), told: make(map[string]toldObservations), calls: make(map[string]int64),
+		news: make(chan struct{}), calls: make(map[string]int64),
 	}
 	v.reader = mirror.NewReader(g.began, &v.mirror, derive(g.ports.Random))
 	return v
@@ -298,32 +289,39 @@
 	v.gateway.engine.Hear(fromWire(ask.Observed))
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	now := v.now()
-	for from, told := range v.told {
-		if now > told.at+toldTime {
-			delete(v.told, from)
-		}
+	v.observed.hear(v.now(), ask.From, ask.Observed)
+}
+
+// observations returns what a daemon that follows this one is told about
+// replicas.
+func (v *view) observations(follower string) []viewObservation {
+	v.mu.Lock()
+	due := v.observed.due(v.now())
+	v.mu.Unlock()
+	var own []viewObservation
+	if due {
+		own = toWire(v.gateway.engine.Observations())
 	}
-	if len(ask.Observed) > 0 {
-		v.told[ask.From] = toldObservations{at: now, observed: ask.Observed}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if due {
+		now := v.now()
+		v.observed.hear(now, v.gateway.config.Peers, own)
+		v.observed.merge(now)
 	}
+	return v.observed.except(follower)
 }
 
 // tell returns what a peer does not know yet.
 func (v *view) tell(ask viewAsk) viewReply {
-	own := toWire(v.gateway.engine.Observations())
+	observed := v.observations(ask.From)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !v.mirror.Complete() {
 		return viewReply{}
 	}
 	items, complete, revision := v.mirror.Since(ask.After)
-	reply := viewReply{Complete: complete, Revision: revision, Age: float64(v.reader.Age(v.now())), Observed: own}
-	for from, told := range v.told {
-		if from != ask.From {
-			reply.Observed = append(reply.Observed, told.observed...)
-		}
-	}
+	reply := viewReply{Complete: complete, Revision: revision, Age: float64(v.reader.Age(v.now())), Observed: observed}
 	for _, item := range items {
 		reply.Items = append(reply.Items, viewItem{
 			Key: item.Key(), Value: item.Value(), Revision: item.Revision(), Removed: item.Removed(),
