front, roster: no header limit before a configuration is known; fewer member lists

A header above the default limit was answered 431 before a configuration was known, which callers do not repeat; 503 now. A question for addresses no longer sorts all members.

--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -58,8 +58,8 @@
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	path := pathOf(r)
-	limits, _ := h.engine.Limits()
-	if headerSize(r) > orDefault(limits.HeaderBytes(), defaultHeaderBytes) {
+	limits, known := h.engine.Limits()
+	if known && headerSize(r) > orDefault(limits.HeaderBytes(), defaultHeaderBytes) {
 		h.reject(w, r, path, http.StatusRequestHeaderFieldsTooLarge, "the header is too large")
 		return
 	}
--- a/entry/front/limits_test.go
+++ b/entry/front/limits_test.go
@@ -107,7 +107,10 @@
 // that a process has seen.
 func TestLimitsInForceAreThoseOfTheNewestConfiguration(t *testing.T) {
 	d := newDaemon(t)
+	huge := head + "Extra: " + strings.Repeat("x", 20_000) + "\r\nContent-Length: 0\r\n\r\n"
+	require.Equal(t, unserved, d.dial().status(huge), "no limit is known yet, so nothing is denied")
 	d.limit(0, 0, 0, 0)
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, d.dial().status(huge))
 	open := d.dial()
 	large := head + "Extra: " + strings.Repeat("x", 2000) + "\r\nContent-Length: 0\r\n\r\n"
 	require.Equal(t, unserved, open.status(large))
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -176,6 +176,11 @@
 			r.serving = append(r.serving, m)
 		}
 	}
+	for _, m := range r.membership.Members() {
+		if m.State() == fleet.Leaving || m.State() == fleet.Left {
+			delete(r.lastServed, m.Callers())
+		}
+	}
 	r.remember()
 	r.count()
 	r.parts.Sources(r.sources())
@@ -200,11 +205,6 @@
 			r.lastServed[m.Callers()] = now
 		}
 	}
-	for _, m := range r.membership.Members() {
-		if m.State() == fleet.Leaving || m.State() == fleet.Left {
-			delete(r.lastServed, m.Callers())
-		}
-	}
 	limit := remembered
 	if len(serving) > 0 {
 		limit = alone
