--- a/core/replica/pool.go
+++ b/core/replica/pool.go
@@ -81,6 +81,9 @@
 // SetOut names the data centres that are taken out of service.
 func (s *Set) SetOut(dataCentres []string) { s.out = dataCentres }
 
+// Listed is the word of Put for a replica that was not known.
+const Listed = "listed"
+
 // Put takes an entry of the list that is new or has changed. It returns what
 // is new about the replica in a word, or "".
 func (s *Set) Put(now clock.Millis, e Entry) (change string) {
@@ -91,7 +94,7 @@
 	}
 	if r == nil {
 		if change == "" {
-			change = "listed"
+			change = Listed
 		}
 		p := s.Pool(e.Service())
 		r = &Replica{pool: p}
--- a/entry/routing/facts.go
+++ b/entry/routing/facts.go
@@ -29,6 +29,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.parts.Clock.Now()
+	listed := 0
 	for _, fact := range facts {
 		switch {
 		case fact.Table != nil:
@@ -40,20 +41,32 @@
 			delete(e.out, fact.In)
 			e.setOut("taken back", fact.In)
 		case fact.Replica != nil:
-			e.put(now, *fact.Replica)
+			if e.put(now, *fact.Replica, len(facts) > manyFacts) {
+				listed++
+			}
 		case fact.Gone != "":
 			if e.set.Drop(fact.Gone) {
 				e.parts.Log.V(1).Info("replica gone", "replica", fact.Gone)
 			}
 		}
 	}
+	if listed > 0 && len(facts) > manyFacts {
+		e.parts.Log.Info("replicas listed", "new", listed)
+	}
 }
 
-func (e *Engine) put(now clock.Millis, entry replica.Entry) {
-	if change := e.set.Put(now, entry); change != "" {
+// manyFacts is the size of a batch, such as a first listing, in which new replicas
+// are logged in one line, so that they do not displace other lines.
+const manyFacts = 32
+
+// put takes an entry, and reports whether the replica is new.
+func (e *Engine) put(now clock.Millis, entry replica.Entry, many bool) bool {
+	change := e.set.Put(now, entry)
+	if change != "" && !(many && change == replica.Listed) {
 		e.parts.Log.V(1).Info("replica "+change, "replica", entry.ID(), "service", entry.Service(),
 			"dataCentre", entry.DataCentre(), "address", entry.Address())
 	}
+	return change == replica.Listed
 }
 
 func (e *Engine) adopt(table *route.Table) {
--- a/entry/routing/log_test.go
+++ b/entry/routing/log_test.go
@@ -323,3 +323,21 @@
 	require.NotNil(t, line)
 	assert.Equal(t, "not connected", line["result"])
 }
+
+// Guards against a first listing that fills the log's rate with one line for each
+// replica, so that lines about requests are dropped.
+func TestFirstListingIsOneLine(t *testing.T) {
+	l := newLogged(t, replica.BudgetPolicy{})
+	l.configure(one(true))
+	var facts []Fact
+	for n := range 200 {
+		entry := replica.NewEntry(replica.Spec{ID: fmt.Sprint("i", n), Service: "s0", Address: fmt.Sprint("10.0.0.1:", n), DataCentre: "x"})
+		facts = append(facts, Fact{Replica: &entry})
+	}
+	l.Learn(facts)
+	assert.EqualValues(t, 200, l.find("replicas listed")["new"])
+	assert.Nil(t, l.find("replica listed"))
+	assert.Len(t, l.lines, 2)
+	l.Learn(facts[:1])
+	assert.Len(t, l.lines, 2, "nothing is new")
+}
