gateway, roster, routing: read-through of the change

- roster: one pass over the members for each change, not two.
- gateway: observations are taken under one lock, in the order that learn uses.
- routing: beliefs are not computed when their lines are off; the line of a belief comes before the answer that it led to.
It came after, so a test could look for it too early, and the race detector found that the tests of lines read them without their lock (tests only).
Assertions are unchanged.

--- a/entry/gateway/view.go
+++ b/entry/gateway/view.go
@@ -293,20 +293,10 @@
 }
 
 // observations returns what a daemon that follows this one is told about
-// replicas.
+// replicas. The caller holds the lock.
 func (v *view) observations(follower string) []viewObservation {
-	v.mu.Lock()
-	due := v.observed.due(v.now())
-	v.mu.Unlock()
-	var own []viewObservation
-	if due {
-		own = toWire(v.gateway.engine.Observations())
-	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if due {
-		now := v.now()
-		v.observed.hear(now, v.gateway.config.Peers, own)
+	if now := v.now(); v.observed.due(now) {
+		v.observed.hear(now, v.gateway.config.Peers, toWire(v.gateway.engine.Observations()))
 		v.observed.merge(now)
 	}
 	return v.observed.except(follower)
@@ -314,14 +304,13 @@
 
 // tell returns what a peer does not know yet.
 func (v *view) tell(ask viewAsk) viewReply {
-	observed := v.observations(ask.From)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !v.mirror.Complete() {
 		return viewReply{}
 	}
 	items, complete, revision := v.mirror.Since(ask.After)
-	reply := viewReply{Complete: complete, Revision: revision, Age: float64(v.reader.Age(v.now())), Observed: observed}
+	reply := viewReply{Complete: complete, Revision: revision, Age: float64(v.reader.Age(v.now())), Observed: v.observations(ask.From)}
 	for _, item := range items {
 		reply.Items = append(reply.Items, viewItem{
 			Key: item.Key(), Value: item.Value(), Revision: item.Revision(), Removed: item.Removed(),
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -172,12 +172,10 @@
 func (r *Roster) changed() {
 	r.serving = r.serving[:0]
 	for _, m := range r.membership.Members() {
-		if m.Alive() && m.Callers() != "" {
+		switch {
+		case m.Alive() && m.Callers() != "":
 			r.serving = append(r.serving, m)
-		}
-	}
-	for _, m := range r.membership.Members() {
-		if m.State() == fleet.Leaving || m.State() == fleet.Left {
+		case m.State() == fleet.Leaving, m.State() == fleet.Left:
 			delete(r.lastServed, m.Callers())
 		}
 	}
--- a/entry/routing/call.go
+++ b/entry/routing/call.go
@@ -105,8 +105,9 @@
 	if !c.finished {
 		c.traceEnd(now, attempt, result.String())
 	}
-	c.perform(now, c.state.Ended(now, attempt, result))
+	actions := c.state.Ended(now, attempt, result)
 	e.logBelief(now, asked, result)
+	c.perform(now, actions)
 }
 
 func (c *call) wake(now, at clock.Millis) {
--- a/entry/routing/log_test.go
+++ b/entry/routing/log_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -70,6 +71,13 @@
 	return nil
 }
 
+// written returns the lines so far.
+func (l *logged) written() []map[string]any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.lines)
+}
+
 // answer is how a replica under test answers.
 type answer func(w http.ResponseWriter, r *http.Request)
 
@@ -194,7 +202,7 @@
 			}
 			l.ask(t.Context(), "r1")
 			line := l.find(c.message)
-			require.NotNil(t, line, "%v", l.lines)
+			require.NotNil(t, line, "%v", l.written())
 			assert.Equal(t, "r1", line["request"])
 			assert.Equal(t, "search", line["route"])
 			assert.EqualValues(t, 7, line["version"])
@@ -337,7 +345,7 @@
 	l.Learn(facts)
 	assert.EqualValues(t, 200, l.find("replicas listed")["new"])
 	assert.Nil(t, l.find("replica listed"))
-	assert.Len(t, l.lines, 2)
+	assert.Len(t, l.written(), 2)
 	l.Learn(facts[:1])
-	assert.Len(t, l.lines, 2, "nothing is new")
+	assert.Len(t, l.written(), 2, "nothing is new")
 }
--- a/entry/routing/trace.go
+++ b/entry/routing/trace.go
@@ -84,9 +84,13 @@
 // logBelief writes a line when what the daemon believes of a replica changes.
 // The caller holds the lock.
 func (e *Engine) logBelief(now clock.Millis, r *replica.Replica, result replica.Result) {
+	log := e.parts.Log.V(1)
+	if !log.Enabled() {
+		return
+	}
 	if belief, changed := r.Belief(now); changed {
 		entry := r.Entry()
-		e.parts.Log.V(1).Info("replica is "+belief.State(), "replica", entry.ID(), "service", entry.Service(),
+		log.Info("replica is "+belief.State(), "replica", entry.ID(), "service", entry.Service(),
 			"before", belief.Before(), "result", result.String(), "slowness", belief.Slowness(), "failing", belief.Failing(),
 			"inFlight", r.InFlight(), "listedAgo", round(now-e.viewed))
 	}
