upstreams: only the known process runs a sub-request that was chosen for it

After a restart a daemon sent ungated on a connection that it had opened after it: a new one, one that had replaced an abandoned one, or one that a status call or a gated exchange had left idle. No ended connection told it of the restart. Change: a connection knows the process at its other end, from an answer or from a status call before its first use. An exchange that was not gated runs only on a connection to the process that was known at its choice, and ends as Stale otherwise. A Stale result of a choice before a known restart says nothing new. Ruled out: refusing every ungated dial without an open connection (pools that closed their own idle connections would never dial again). Tests: TestProcessIsProven, TestProcessUnknown and a case of TestColdStartEvidence failed before. The upstream of startCounted answers its status now, as the protocol of upstreams says.

--- a/core/upstream/evidence.go
+++ b/core/upstream/evidence.go
@@ -36,7 +36,7 @@
 	case Cancelled:
 		p.abandoned(r, &choice, result)
 	case Stale:
-		p.ended(r)
+		p.ended(r, &choice)
 	case NotConnected, ConnectionLost:
 		p.disconnected(r, result.kind)
 	default:
@@ -157,11 +157,15 @@
 	return r.lost || r.stale || (r.cold != nil && r.cold.local)
 }
 
-// ended takes the end of all idle connections. An upstream closes idle
-// connections also in normal operation, so it is no failure; but the process
-// may have restarted, so that it gets no more work than a cold one until an
-// answer tells.
-func (p *Pool) ended(r *replicaState) {
+// ended takes the end of all idle connections, or a connection to another
+// process than the known one. An upstream closes idle connections also in
+// normal operation, so it is no failure; but the process may have restarted, so
+// that it gets no more work than a cold one until an answer tells. A restart
+// that became known since the choice explains the end.
+func (p *Pool) ended(r *replicaState, choice *Choice) {
+	if choice.boot != r.boot {
+		return
+	}
 	r.stale = true
 	r.staleAt = p.now
 	p.gate(r)
--- a/core/upstream/pick.go
+++ b/core/upstream/pick.go
@@ -192,7 +192,7 @@
 // choose counts an exchange with r as in flight.
 func (p *Pool) choose(r *replicaState, ask *Ask) Choice {
 	choice := Choice{upstream: r.replica.id, replica: r, began: p.now, fresh: ask.fresh || r.suspect,
-		gated: r.cold != nil || ask.granted, unproven: r.unproven()}
+		gated: r.cold != nil || ask.granted, unproven: r.unproven(), boot: r.boot}
 	switch p.route(r, ask) {
 	case relayed:
 		choice.via = p.relay(r)
--- a/core/upstream/pool_test.go
+++ b/core/upstream/pool_test.go
@@ -245,6 +245,14 @@
 			f.exchange(u1, upstream.Stale, 0, "")
 			f.exchange(u1, upstream.OK, 5, "")
 		}, true},
+		{"connections ended, of a choice before a known restart", func(f *fixture) {
+			old, err := f.pool.Pick(f.now, ask(u1))
+			require.NoError(f.t, err)
+			episode := uint64(f.now)
+			f.pool.Learn(f.now, upstream.NewColdRecord(u1, episode, 1, "b2", 1, "d2", false))
+			f.pool.Learn(f.now, upstream.NewColdRecord(u1, episode, 9, "b2", 11, "d2", true))
+			f.pool.Done(f.now, old, upstream.NewResult(upstream.Stale, 0, ""))
+		}, false},
 		{"latency jump on several answers", func(f *fixture) { f.repeat(3, u1, upstream.OK, 50) }, true},
 		{"latency jump on two answers", func(f *fixture) { f.repeat(2, u1, upstream.OK, 50) }, false},
 		{"own report", func(f *fixture) { f.pool.Report(f.now, upstream.NewReport(u1, "b1", 0).Cold()) }, true},
--- a/core/upstream/upstream.go
+++ b/core/upstream/upstream.go
@@ -171,6 +171,7 @@
 	replica  *replicaState
 	gated    bool
 	unproven bool
+	boot     string
 }
 
 // Upstream returns the picked replica.
@@ -199,6 +200,11 @@
 // may be, in a cold start.
 func (c Choice) Gated() bool { return c.gated }
 
+// Boot returns the identity of the upstream's process as it was known at the
+// choice, or "". Unless the choice is gated, only this process may run the
+// sub-request: another one may be in a cold start.
+func (c Choice) Boot() string { return c.boot }
+
 // Began returns the instant at which the replica was picked.
 func (c Choice) Began() clock.Millis { return c.began }
 
--- a/entry/upstreams/abandon.go
+++ b/entry/upstreams/abandon.go
@@ -33,13 +33,18 @@
 }
 
 // replace opens a connection for later exchanges, on a place that is held for
-// it. A failure is no evidence about the upstream: the next exchange will tell.
+// it, and learns to which process it leads. A failure is no evidence about the upstream: the next exchange will tell.
 func (p *pool) replace() {
 	c, err := dial(context.Background(), p.client.dialer(), string(p.id))
 	if err != nil {
 		p.freePlace()
 		return
 	}
+	deadline := time.Now().Add(statusTimeout)
+	if _, reusable, _ := c.status(context.Background(), deadline, p.id); !reusable {
+		p.discard(c)
+		return
+	}
 	p.release(c)
 }
 
--- a/entry/upstreams/abandon_test.go
+++ b/entry/upstreams/abandon_test.go
@@ -43,12 +43,16 @@
 	return c.most, c.opened
 }
 
-// startCounted serves an upstream that answers nothing before its caller goes
-// away, and notices that only after lag.
+// startCounted serves an upstream that answers its status, and no query before
+// its caller goes away, which it notices only after lag.
 func startCounted(t *testing.T, lag time.Duration) (upstream.ID, *counter) {
 	t.Helper()
 	c := &counter{}
-	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			_, _ = io.WriteString(w, `{"boot":"b1"}`)
+			return
+		}
 		// The server watches for the end of a connection once the body is read.
 		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
--- a/entry/upstreams/conn.go
+++ b/entry/upstreams/conn.go
@@ -35,6 +35,7 @@
 	reader    *bufio.Reader
 	idleSince clock.Millis
 	reused    bool
+	boot      string // process at the other end, "" until known
 }
 
 func dial(ctx context.Context, dialer net.Dialer, address string) (*conn, error) {
@@ -63,6 +64,9 @@
 	if err == nil {
 		r, err = c.read(method)
 	}
+	if boot := r.header.Get("Lovagegap-Boot"); boot != "" {
+		c.boot = boot
+	}
 	if !stop() {
 		// The cancellation may still move the deadline.
 		r.reusable = false
--- a/entry/upstreams/exchange.go
+++ b/entry/upstreams/exchange.go
@@ -31,6 +31,7 @@
 	body     []byte
 	fresh    bool
 	gated    bool
+	boot     string // the process that may run it unless it is gated; "" for any
 }
 
 // NewExchange returns the exchange that carries out a Send of a query.
@@ -45,6 +46,7 @@
 		body:     body,
 		fresh:    action.Choice().Fresh(),
 		gated:    action.Choice().Gated(),
+		boot:     action.Choice().Boot(),
 	}
 }
 
@@ -128,8 +130,10 @@
 			return reply{}, false, err
 		}
 		reused := c.reused
-		r, sent, err = p.use(ctx, c, e, deadline)
-		if err == nil || sent || !reused || ctx.Err() != nil || !time.Now().Before(deadline) {
+		if err = p.prove(ctx, c, e, deadline); err == nil {
+			r, sent, err = p.use(ctx, c, e, deadline)
+		}
+		if err == nil || sent || !reused || errors.Is(err, errStale) || ctx.Err() != nil || !time.Now().Before(deadline) {
 			return r, sent, err
 		}
 		p.ended()
--- a/entry/upstreams/relayed.go
+++ b/entry/upstreams/relayed.go
@@ -30,5 +30,6 @@
 		body:     sub.Body(),
 		fresh:    choice.Fresh(),
 		gated:    choice.Gated(),
+		boot:     choice.Boot(),
 	}
 }
--- a/entry/upstreams/stale.go
+++ b/entry/upstreams/stale.go
@@ -1,6 +1,9 @@
 package upstreams
 
 import (
+	"context"
+	"time"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagegap/lovagegap/core/clock"
@@ -42,6 +45,29 @@
 	return now >= p.stale.until
 }
 
+// prove makes sure that the connection leads to the process for which the
+// exchange was chosen. A new process may be in a cold start, of which the
+// choice did not know. It returns errStale if the connection leads to another
+// process, or to an unknown one; the connection then waits for an exchange that
+// was chosen for its process.
+func (p *pool) prove(ctx context.Context, c *conn, e *Exchange, deadline time.Time) error {
+	if e.gated || e.boot == "" || c.boot == e.boot {
+		return nil
+	}
+	if c.boot == "" {
+		_, reusable, err := c.status(ctx, deadline, p.id)
+		switch {
+		case !reusable:
+			p.discard(c)
+			return errors.CombineErrors(err, errStale)
+		case c.boot == e.boot:
+			return nil
+		}
+	}
+	p.release(c)
+	return errStale
+}
+
 // ended notes that a used connection had ended before a byte was sent.
 func (p *pool) ended() {
 	p.mu.Lock()
--- /dev/null
+++ b/entry/upstreams/stale_test.go
@@ -0,0 +1,79 @@
+package upstreams
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/upstream"
+)
+
+// TestProcessIsProven guards against work for a process that has just started
+// from exchanges that were chosen for the one before: on a new connection, on
+// one that another exchange or a status call opened, and on one that replaces an
+// abandoned one. An upstream in a cold start would get more than it can bear
+// (I3).
+func TestProcessIsProven(t *testing.T) {
+	u := replica(t)
+	id := upstream.ID(u.Address())
+	client := New(clock.Clock{})
+	client.SetLimit(id, 3)
+	send := func(boot string, gated bool) upstream.Kind {
+		e := toReplica(u, ample)
+		e.boot, e.gated = boot, gated
+		return kind(client, e)
+	}
+	first := u.Boot()
+	require.Equal(t, upstream.OK, send(first, false))
+	restart := func(connect func()) {
+		known := u.Boot()
+		client.Suspect(id)
+		closed := func() bool { open, _ := client.Connections(id); return open == 0 }
+		require.Eventually(t, closed, 5*time.Second, time.Millisecond)
+		u.Restart()
+		connect()
+		ran := u.Counts().Started
+		require.Equal(t, upstream.Stale, send(known, false))
+		require.Equal(t, ran, u.Counts().Started, "nothing runs on a process that the choice did not know")
+	}
+	restart(func() {})
+	restart(func() { require.Equal(t, upstream.OK, send(first, true)) })
+	restart(func() {
+		_, err := client.Status(t.Context(), id)
+		require.NoError(t, err)
+	})
+	restart(func() {
+		p := client.pool(id)
+		p.places++
+		p.replace()
+	})
+	require.Equal(t, upstream.OK, send(u.Boot(), false))
+	client.Suspect(id)
+	require.Equal(t, upstream.OK, send(u.Boot(), false), "a new connection to the known process")
+	require.Equal(t, upstream.OK, send("", false), "no process known")
+}
+
+// TestProcessUnknown guards against work for an upstream whose status cannot be
+// read, as if it were the known process.
+func TestProcessUnknown(t *testing.T) {
+	for name, reply := range map[string]string{
+		"no status":          "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
+		"not JSON":           "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{",
+		"connection closing": "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\n{}",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := start(t, func(c net.Conn, _ *http.Request, _ int) { fmt.Fprint(c, reply) })
+			client := New(clock.Clock{})
+			e := newExchange(s.id(), "q1/0", ample)
+			e.boot = "b1"
+			require.Equal(t, upstream.Stale, kind(client, e))
+			requests, _ := s.seen()
+			require.Equal(t, 1, requests, "the status call alone")
+		})
+	}
+}
--- a/entry/upstreams/status.go
+++ b/entry/upstreams/status.go
@@ -90,9 +90,8 @@
 	}
 	defer p.endStatus()
 	deadline, _ := ctx.Deadline()
-	request := []byte("GET /v1/status HTTP/1.1\r\nHost: " + string(id) + "\r\n\r\n")
-	r, _, err := connection.exchange(ctx, deadline, request, get)
-	if err != nil || !r.reusable {
+	status, reusable, err := connection.status(ctx, deadline, id)
+	if !reusable {
 		p.discard(connection)
 	} else {
 		p.release(connection)
@@ -100,7 +99,21 @@
 	if err != nil {
 		return Status{}, statusError(ctx, id, err)
 	}
-	return decodeStatus(id, r)
+	return status, nil
+}
+
+// status asks for the status on the connection and notes the process at its
+// other end. The connection may be used again if reusable is true.
+func (c *conn) status(ctx context.Context, deadline time.Time, id upstream.ID) (s Status, reusable bool, err error) {
+	request := []byte("GET /v1/status HTTP/1.1\r\nHost: " + string(id) + "\r\n\r\n")
+	r, _, err := c.exchange(ctx, deadline, request, get)
+	if err != nil {
+		return Status{}, false, err
+	}
+	if s, err = decodeStatus(id, r); err == nil {
+		c.boot = s.boot
+	}
+	return s, r.reusable, err
 }
 
 func statusError(ctx context.Context, id upstream.ID, err error) error {
