--- a/entry/routing/call.go
+++ b/entry/routing/call.go
@@ -190,7 +190,7 @@
 		c.timer.Stop()
 	}
 	now := e.parts.Clock.Now()
-	e.parts.Meter.Finished(c.route.Name(), outcome, answer.status, answer.missing, now-c.began)
+	e.parts.Meter.Finished(c.route, outcome, answer.status, answer.missing, now-c.began)
 	c.log(now, answer, outcome, missing)
 	c.done <- answer
 }
--- a/entry/routing/log_test.go
+++ b/entry/routing/log_test.go
@@ -28,9 +28,9 @@
 
 type noMeter struct{}
 
-func (noMeter) Sent(string, string, string)                     {}
-func (noMeter) Ended(string, string)                            {}
-func (noMeter) Finished(string, string, int, int, clock.Millis) {}
+func (noMeter) Sent(string, string, string)                           {}
+func (noMeter) Ended(string, string)                                  {}
+func (noMeter) Finished(*route.Route, string, int, int, clock.Millis) {}
 
 // logged is an engine with the lines that it writes.
 type logged struct {
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -50,7 +50,7 @@
 type Meter interface {
 	Sent(route, service, purpose string)
 	Ended(service, result string)
-	Finished(route, outcome string, status, missing int, latency clock.Millis)
+	Finished(r *route.Route, outcome string, status, missing int, latency clock.Millis)
 }
 
 // Engine runs requests. It is safe for concurrent use.
--- a/entry/telemetry/routes.go
+++ b/entry/telemetry/routes.go
@@ -11,10 +11,12 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/route"
 )
 
 // Routes counts what a daemon does for the requests on routes: answers by route
-// and outcome with their latency, and exchanges by service. The zero value is
+// and by class, which is the priority of the route, with their outcome and
+// latency, and exchanges by service. The zero value is
 // ready for use. It is safe for concurrent use. Names above the limit of series
 // are counted together.
 type Routes struct {
@@ -22,18 +24,22 @@
 	registry metrics.Registry
 
 	mu       sync.Mutex
-	routes   map[string]*routeSeries
+	routes   map[string]*answerSeries
+	classes  map[int]*answerSeries
 	services map[string]*serviceSeries
 }
 
 const (
 	maxRoutes     = 64
+	maxClasses    = 16
 	maxServices   = 128
-	routeSample   = 256
+	answerSample  = 256
 	secondsFactor = 1000 // histograms hold microseconds
 )
 
-type routeSeries struct {
+// answerSeries counts the answers of one route or class.
+type answerSeries struct {
+	prefix   string
 	latency  metrics.Histogram
 	outcomes map[string]metrics.Counter
 	statuses map[string]metrics.Counter
@@ -49,12 +55,18 @@
 func (t *Routes) Registry() metrics.Registry {
 	t.once.Do(func() {
 		t.registry = metrics.NewRegistry()
-		t.routes = make(map[string]*routeSeries)
+		t.routes = make(map[string]*answerSeries)
+		t.classes = make(map[int]*answerSeries)
 		t.services = make(map[string]*serviceSeries)
 	})
 	return t.registry
 }
 
+// SetGauge sets the present value of a figure of another subsystem.
+func (t *Routes) SetGauge(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, t.Registry()).Update(value)
+}
+
 // Sent counts an exchange that was started.
 func (t *Routes) Sent(_, service, purpose string) {
 	t.mu.Lock()
@@ -72,12 +84,16 @@
 }
 
 // Finished counts an answer.
-func (t *Routes) Finished(route, outcome string, status, missing int, latency clock.Millis) {
+func (t *Routes) Finished(r *route.Route, outcome string, status, missing int, latency clock.Millis) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s, name := t.route(route)
-	t.count(s.outcomes, outcome, "route", name, "outcome")
-	t.count(s.statuses, strconv.Itoa(status), "route", name, "status")
+	t.answer(t.route(r.Name()), outcome, status, missing, latency)
+	t.answer(t.class(r.Priority()), outcome, status, missing, latency)
+}
+
+func (t *Routes) answer(s *answerSeries, outcome string, status, missing int, latency clock.Millis) {
+	t.count(s.outcomes, outcome, s.prefix, "outcome")
+	t.count(s.statuses, strconv.Itoa(status), s.prefix, "status")
 	s.latency.Update(int64(latency * secondsFactor))
 	if missing > 0 {
 		s.missing.Inc(1)
@@ -96,23 +112,45 @@
 	c.Inc(1)
 }
 
-func (t *Routes) route(name string) (*routeSeries, string) {
-	registry := t.Registry()
+func (t *Routes) route(name string) *answerSeries {
+	t.Registry()
 	if t.routes[name] == nil && len(t.routes) >= maxRoutes {
 		name = overflow
 	}
-	s := t.routes[name]
-	if s == nil {
-		s = &routeSeries{
-			latency:  metrics.NewHistogram(metrics.NewUniformSample(routeSample)),
-			outcomes: make(map[string]metrics.Counter),
-			statuses: make(map[string]metrics.Counter),
-			missing:  metrics.NewRegisteredCounter("route."+name+".partial", registry),
+	if t.routes[name] == nil {
+		t.routes[name] = t.newAnswerSeries("route." + name)
+	}
+	return t.routes[name]
+}
+
+// overflowClass counts the answers of the classes above the limit.
+const overflowClass = -1
+
+func (t *Routes) class(priority int) *answerSeries {
+	t.Registry()
+	if t.classes[priority] == nil && len(t.classes) >= maxClasses {
+		priority = overflowClass
+	}
+	if t.classes[priority] == nil {
+		name := strconv.Itoa(priority)
+		if priority == overflowClass {
+			name = overflow
 		}
-		_ = registry.Register("route."+name+".latency", s.latency)
-		t.routes[name] = s
+		t.classes[priority] = t.newAnswerSeries("class." + name)
 	}
-	return s, name
+	return t.classes[priority]
+}
+
+func (t *Routes) newAnswerSeries(prefix string) *answerSeries {
+	s := &answerSeries{
+		prefix:   prefix,
+		latency:  metrics.NewHistogram(metrics.NewUniformSample(answerSample)),
+		outcomes: make(map[string]metrics.Counter),
+		statuses: make(map[string]metrics.Counter),
+		missing:  metrics.NewRegisteredCounter(prefix+".partial", t.registry),
+	}
+	_ = t.registry.Register(prefix+".latency", s.latency)
+	return s
 }
 
 func (t *Routes) service(name string) (*serviceSeries, string) {
