replica, route, roster: regions of data centres and routes that stay in some

Regions were not known to the daemon beyond its own. Change: the roster learns the region of each data centre from the members; the replica set ranks replicas by data centre, region, other region, and leaves out those outside of a route's regions (unknown ones too); a caller is named daemons of its own region while there is one, and two of the region if its data centre has none.

--- a/core/dispatch/rules_test.go
+++ b/core/dispatch/rules_test.go
@@ -159,6 +159,24 @@
 	assert.LessOrEqual(t, f.outcome.RetryAfter(), maxRetryAfter)
 }
 
+// Guards against a request that leaves the regions of its route: it is refused
+// while only replicas elsewhere are left.
+func TestRequestStaysInItsRegions(t *testing.T) {
+	f := newFixture(t, single(true))
+	r, err := route.NewRoute(route.Spec{Host: "h", Prefix: "/", Timeout: 600, Objective: 100, Attempts: 2,
+		Regions: []string{"west"}, Splits: []route.Split{route.NewSplit("s0", 1)}})
+	require.NoError(t, err)
+	start := func() Action {
+		actions := New(0, r, 600, Resources{Set: f.set, Profile: &f.profile, Gate: &f.gate}).Start(0)
+		require.NotEmpty(t, actions)
+		return actions[0]
+	}
+	f.set.SetRegions(map[string]string{"a": "east", "b": "east", "c": "east"})
+	assert.Equal(t, Refused, start().Outcome().Kind())
+	f.set.SetRegions(map[string]string{"a": "east", "b": "west", "c": "east"})
+	assert.Equal(t, "b", start().Replica().Entry().DataCentre())
+}
+
 // Guards against a request that waits although nothing can come: without a
 // replica it is refused at once.
 func TestServiceWithoutReplicasIsRefusedAtOnce(t *testing.T) {
--- a/core/dispatch/shard.go
+++ b/core/dispatch/shard.go
@@ -25,7 +25,7 @@
 func (s *shard) open() bool { return s.winner < 0 && !s.lost }
 
 func (q *Request) pick(now clock.Millis, s *shard) (*replica.Replica, error) {
-	ask := replica.NewAsk(q.expected, s.tried).Within(q.route.Objective() * earlyShare)
+	ask := replica.NewAsk(q.expected, s.tried).Within(q.route.Objective() * earlyShare).Inside(q.route.Regions())
 	if !q.route.Idempotent() {
 		ask = ask.Careful()
 	}
--- a/core/replica/pick.go
+++ b/core/replica/pick.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// farTrip is the time that a round trip to another data centre adds.
-	farTrip = 2 * clock.Millisecond
+	// farTrip is the time that a round trip to another data centre of the region
+	// adds, and abroadTrip one to another region.
+	farTrip    = 2 * clock.Millisecond
+	abroadTrip = 30 * clock.Millisecond
 	// queueFactor is what an unanswered request adds below the slots, for the
 	// requests of other daemons that this one does not see.
 	queueFactor = 0.4
@@ -26,6 +28,7 @@
 	expected clock.Millis
 	enough   clock.Millis
 	tried    []*Replica
+	regions  []string
 	careful  bool
 }
 
@@ -43,6 +46,18 @@
 	return a
 }
 
+// Inside returns the ask for a request that only replicas in the given regions
+// may get; all may if there are none.
+func (a Ask) Inside(regions []string) Ask {
+	a.regions = regions
+	return a
+}
+
+// allows reports whether the request may be sent to the replica's region.
+func (a *Ask) allows(r *Replica) bool {
+	return len(a.regions) == 0 || (r.region != "" && slices.Contains(a.regions, r.region))
+}
+
 // Careful returns the ask for a request that cannot be repeated.
 func (a Ask) Careful() Ask {
 	a.careful = true
@@ -52,10 +67,11 @@
 // Pick returns the replica that is expected to answer first. It returns ErrNone
 // or ErrBusy. The caller counts the exchange with Begin.
 func (p *Pool) Pick(now clock.Millis, ask Ask) (*Replica, error) {
-	var near, far, last candidate
+	var best [distances]candidate
+	var last candidate
 	busy := false
 	for _, r := range p.replicas {
-		if r.displaced || slices.Contains(ask.tried, r) || slices.Contains(p.set.out, r.entry.DataCentre()) {
+		if r.displaced || slices.Contains(ask.tried, r) || slices.Contains(p.set.out, r.entry.DataCentre()) || !ask.allows(r) {
 			continue
 		}
 		if !r.hasRoom(now) {
@@ -72,17 +88,19 @@
 			// A replica that cannot be reached is asked if all others fail too:
 			// the attempt costs little and tells when it is back.
 			last.offer(r, score+maxBackoff+r.retryAt-now)
-		case r.near():
-			near.offer(r, score)
 		default:
-			far.offer(r, score)
+			best[r.distance].offer(r, score)
+		}
+	}
+	chosen := best[distances-1]
+	for _, nearer := range slices.Backward(best[:distances-1]) {
+		if nearer.replica != nil && (chosen.replica == nil || nearer.score <= max(chosen.score, ask.enough)) {
+			chosen = nearer
 		}
 	}
 	switch {
-	case near.replica != nil && (far.replica == nil || near.score <= max(far.score, ask.enough)):
-		return near.replica, nil
-	case far.replica != nil:
-		return far.replica, nil
+	case chosen.replica != nil:
+		return chosen.replica, nil
 	case last.replica != nil:
 		return last.replica, nil
 	case busy:
@@ -104,7 +122,20 @@
 	}
 }
 
-func (r *Replica) near() bool { return r.entry.DataCentre() == r.pool.set.dataCentre }
+// distance is how far a replica is from the daemon.
+type distance uint8
+
+const (
+	sameDataCentre distance = iota
+	sameRegion
+	otherRegion
+	distances // their number
+)
+
+// trip is the time that a round trip over the distance adds.
+func (d distance) trip() clock.Millis {
+	return [distances]clock.Millis{sameDataCentre: 0, sameRegion: farTrip, otherRegion: abroadTrip}[d]
+}
 
 // Others returns the replicas that are not among the given ones.
 func (p *Pool) Others(given []*Replica) []*Replica {
@@ -168,9 +199,7 @@
 	if r.Cold(now) {
 		score += ask.expected * coldFactor
 	}
-	if !r.near() {
-		score += farTrip
-	}
+	score += r.distance.trip()
 	if ask.careful {
 		// Evidence counts more where a wrong choice cannot be repaired.
 		score += ask.expected * clock.Millis(failFactor*r.failures(now)+max(0, r.slowness(now)-1))
--- a/core/replica/pool.go
+++ b/core/replica/pool.go
@@ -15,6 +15,7 @@
 // use.
 type Set struct {
 	dataCentre string
+	regions    map[string]string // by data centre
 	random     *rand.Rand
 	pools      map[string]*Pool
 	replicas   map[string]*Replica
@@ -81,6 +82,29 @@
 // SetOut names the data centres that are taken out of service.
 func (s *Set) SetOut(dataCentres []string) { s.out = dataCentres }
 
+// SetRegions says in which region each data centre is. A data centre that is
+// not named counts as one of the daemon's own region, but its replicas get no
+// request that must stay in certain regions.
+func (s *Set) SetRegions(regions map[string]string) {
+	s.regions = regions
+	for _, r := range s.replicas {
+		s.locate(r)
+	}
+}
+
+func (s *Set) locate(r *Replica) {
+	dataCentre := r.entry.DataCentre()
+	r.region = s.regions[dataCentre]
+	switch {
+	case dataCentre == s.dataCentre:
+		r.distance = sameDataCentre
+	case r.region == "" || r.region == s.regions[s.dataCentre]:
+		r.distance = sameRegion
+	default:
+		r.distance = otherRegion
+	}
+}
+
 // Listed is the word of Put for a replica that was not known.
 const Listed = "listed"
 
@@ -105,6 +129,7 @@
 		r.drainSeen, change = now, "draining"
 	}
 	r.entry = e
+	s.locate(r)
 	s.claim(r)
 	if e.spec.ColdFor > 0 {
 		if !r.Cold(now) && change == "" {
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -147,6 +147,8 @@
 	pool  *Pool
 	// displaced means that another replica has the address.
 	displaced bool
+	region    string // "" if unknown
+	distance  distance
 
 	pending  []exchange // unanswered, oldest first
 	ratios   [samples]float64
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -49,6 +49,32 @@
 	assert.NotEqual(t, "near", pickID(t, s, 0), "ten unanswered requests do not end in time")
 }
 
+// Guards against requests that leave the region without need, and against one
+// that reaches a region where it may not go.
+func TestRegions(t *testing.T) {
+	s := newTestSet()
+	s.SetRegions(map[string]string{"a": "west", "b": "west", "c": "east"})
+	put(s, 0, entry("abroad", "c"), entry("far", "b"), entry("near", "a"), entry("unknown", "d"))
+	within := func(regions []string, tried ...*Replica) string {
+		r, err := s.Pool("s").Pick(0, NewAsk(expected, tried).Within(50).Inside(regions))
+		if err != nil {
+			assert.ErrorIs(t, err, ErrNone)
+			return ""
+		}
+		return r.Entry().ID()
+	}
+	near, far, unknown := s.get("near"), s.get("far"), s.get("unknown")
+	assert.Equal(t, "near", within(nil))
+	assert.Contains(t, []string{"far", "unknown"}, within(nil, near), "a data centre of the region before one of another")
+	assert.Equal(t, "abroad", within(nil, near, far, unknown))
+	assert.Equal(t, "abroad", within([]string{"east"}))
+	assert.Equal(t, "near", within([]string{"west", "east"}))
+	assert.Equal(t, "abroad", within([]string{"west", "east"}, near, far), "a region that is not known is not allowed")
+	assert.Empty(t, within([]string{"west"}, near, far))
+	s.SetRegions(map[string]string{"a": "west", "b": "west", "c": "east", "d": "west"})
+	assert.Equal(t, "unknown", within([]string{"west"}, near, far), "it became known")
+}
+
 // Guards against requests to a replica that stands still: the age of its oldest
 // unanswered request counts at once, not only its failure.
 func TestUnansweredRequestIsEvidence(t *testing.T) {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -53,6 +53,7 @@
 	Shards      []string // services that all take part in an answer
 	TopK        int      // records of an answer over many shards
 	MinCoverage float64  // least share of the shards in an answer, 0 to 1
+	Regions     []string // the only ones whose replicas may get a request; all if empty
 }
 
 // Route is where the requests of one host and path prefix go.
@@ -125,6 +126,10 @@
 // replica answers.
 func (r *Route) Shards() []string { return r.spec.Shards }
 
+// Regions returns the only regions whose replicas may get a request of the
+// route, or nothing if all may.
+func (r *Route) Regions() []string { return r.spec.Regions }
+
 // TopK returns how many records an answer over many shards has at most.
 func (r *Route) TopK() int { return r.spec.TopK }
 
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -128,7 +128,7 @@
 	g.roster = roster.New(roster.Parts{
 		Clock: ports.Clock, Log: g.log.WithName("roster"), Self: self, Random: derive(ports.Random),
 		Changed: g.engine.SetDaemons, Sources: func(peers []string) { g.view.setSources(peers) },
-		Record: g.hearRecord,
+		Regions: g.engine.SetRegions, Record: g.hearRecord,
 	})
 	g.hub = peers.New(peers.Control, peers.NewIdentity(config.Peers, self.Incarnation()),
 		[][]byte{config.Key}, g.roster, g.log.WithName("peers"))
@@ -157,9 +157,10 @@
 // Leaving reports whether the planned stop has begun.
 func (g *Gateway) Leaving() bool { return g.leaving.Load() }
 
-// Advice returns the addresses for a caller in a data centre and how long they
-// may be used. A daemon whose data centre is cut off names those of others.
-func (g *Gateway) Advice(dataCentre string) ([]string, clock.Millis) {
+// Advice returns the addresses for a caller in a data centre of a region, and
+// how long they may be used. A daemon whose data centre is cut off names those
+// of others.
+func (g *Gateway) Advice(dataCentre, region string) ([]string, clock.Millis) {
 	elsewhere, linked := g.roster.Elsewhere()
 	cutOff := g.engine.CutOff(linked)
 	if g.cutOff.Swap(cutOff) != cutOff {
@@ -168,7 +169,7 @@
 	if cutOff && len(elsewhere) > 0 {
 		return elsewhere, g.config.Lifetime
 	}
-	return g.roster.Addresses(dataCentre), g.config.Lifetime
+	return g.roster.Addresses(dataCentre, region), g.config.Lifetime
 }
 
 // Reconfigure takes a changed process configuration. Addresses and names hold
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -50,6 +50,9 @@
 	// Sources is called with the peers of the same data centre that this daemon
 	// may follow, in order. It must not call back.
 	Sources func(peers []string)
+	// Regions is called with the region of each known data centre. It must not
+	// call back, and must not change what it gets.
+	Regions func(regions map[string]string)
 	// Record takes a record of another subsystem that a peer has published. It
 	// must not call back.
 	Record func(record fleet.Record)
@@ -67,16 +70,19 @@
 	began      clock.Millis
 	joined     bool // whether the seeds had time to answer
 	serving    []fleet.Member
+	regions    map[string]string       // by data centre; those of lost daemons stay known
 	lastServed map[string]clock.Millis // daemons of other data centres, by address for callers
 }
 
 // New returns the roster of a daemon that starts.
 func New(parts Parts) *Roster {
-	return &Roster{
+	r := &Roster{
 		parts: parts, membership: fleet.New(parts.Self, parts.Random, memberLog{parts.Log}),
 		seeds: make(map[fleet.ID]bool), daemons: 1, began: parts.Clock.Now(),
-		lastServed: make(map[string]clock.Millis),
+		lastServed: make(map[string]clock.Millis), regions: make(map[string]string),
 	}
+	r.learnRegions([]fleet.Member{parts.Self})
+	return r
 }
 
 // memberLog writes a line for each change of the view of the members, and for a
@@ -170,8 +176,10 @@
 
 // changed takes a new view of the members.
 func (r *Roster) changed() {
+	members := r.membership.Members()
+	r.learnRegions(members)
 	r.serving = r.serving[:0]
-	for _, m := range r.membership.Members() {
+	for _, m := range members {
 		switch {
 		case m.Alive() && m.Callers() != "":
 			r.serving = append(r.serving, m)
@@ -184,6 +192,20 @@
 	r.parts.Sources(r.sources())
 }
 
+// learnRegions notes in which region the members' data centres are.
+func (r *Roster) learnRegions(members []fleet.Member) {
+	news := false
+	for _, m := range members {
+		if m.DataCentre() != "" && m.Region() != "" && r.regions[m.DataCentre()] != m.Region() {
+			r.regions[m.DataCentre()] = m.Region()
+			news = true
+		}
+	}
+	if news {
+		r.parts.Regions(maps.Clone(r.regions))
+	}
+}
+
 const (
 	// remembered is how long a daemon that is not heard of any more is still
 	// named by one that is cut off itself.
@@ -295,22 +317,32 @@
 const maxAddresses = 64
 
 // Addresses returns the callers' addresses of the daemons that serve a data
-// centre: its own, or all if it has fewer than two. A caller needs a second
-// address to turn to when the first one fails.
-func (r *Roster) Addresses(dataCentre string) []string {
+// centre of a region: its own, and one of the region if it has fewer than two,
+// since a caller needs a second address to turn to when the first one fails.
+// Daemons of other regions are named only if the region has none.
+func (r *Roster) Addresses(dataCentre, region string) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var near, far []string
+	if known := r.regions[dataCentre]; known != "" {
+		region = known
+	}
+	var near, far, abroad []string
 	for _, m := range r.serving {
-		if m.DataCentre() == dataCentre {
+		switch {
+		case m.DataCentre() == dataCentre:
 			near = append(near, m.Callers())
-		} else {
+		case m.Region() == region || region == "":
 			far = append(far, m.Callers())
+		default:
+			abroad = append(abroad, m.Callers())
 		}
 	}
+	if len(near)+len(far) == 0 {
+		far = abroad
+	}
 	if len(near) < 2 {
 		r.parts.Random.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-		near = append(near, far[:min(1, len(far))]...)
+		near = append(near, far[:min(2-len(near), len(far))]...)
 	}
 	if len(near) > maxAddresses {
 		r.parts.Random.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
--- a/entry/roster/roster_test.go
+++ b/entry/roster/roster_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/fleet"
@@ -20,7 +21,7 @@
 func TestDaemonsElsewhereAreRememberedWhenCutOff(t *testing.T) {
 	var manual clock.Manual
 	manual.Advance(clock.Hour)
-	r := New(Parts{Clock: manual.Clock(), Log: logr.Discard(), Self: member("self", "x"), Random: rand.New(rand.NewPCG(1, 2))})
+	r := New(Parts{Clock: manual.Clock(), Log: logr.Discard(), Self: member("self", "x"), Random: rand.New(rand.NewPCG(1, 2)), Regions: func(map[string]string) {}})
 	hear := func(members ...fleet.Member) ([]string, bool) {
 		r.serving = members
 		return r.Elsewhere()
@@ -55,3 +56,37 @@
 	found, _ = hear(own)
 	assert.Equal(t, []string{"b:2"}, found, "one that stopped long before the cut")
 }
+
+// Guards against callers that are sent to another region while their own has a
+// daemon, and against callers with nobody to turn to when the first one fails.
+func TestAddressesStayInTheRegion(t *testing.T) {
+	var regions map[string]string
+	at := func(name, dataCentre, region string) fleet.Member {
+		return fleet.NewMember(fleet.ID(name+":1"), name+":2", dataCentre, region, 1)
+	}
+	a1, a2, b, c := at("a1", "a", "west"), at("a2", "a", "west"), at("b", "b", "west"), at("c", "c", "east")
+	r := New(Parts{Clock: clock.Clock{}, Log: logr.Discard(), Self: a1, Random: rand.New(rand.NewPCG(1, 2)),
+		Regions: func(found map[string]string) { regions = found }})
+	require.Equal(t, map[string]string{"a": "west"}, regions, "its own region is known at the start")
+	r.learnRegions([]fleet.Member{a1, a2, b, c, at("seed", "", "")})
+	require.Equal(t, map[string]string{"a": "west", "b": "west", "c": "east"}, regions)
+	for _, tc := range []struct {
+		name, dataCentre, region string
+		serving                  []fleet.Member
+		want                     []string
+	}{
+		{"two near", "a", "west", []fleet.Member{a1, a2, b, c}, []string{"a1:2", "a2:2"}},
+		{"one near", "b", "west", []fleet.Member{a1, b, c}, []string{"b:2", "a1:2"}},
+		{"the only one of its region", "c", "east", []fleet.Member{a1, a2, b, c}, []string{"c:2"}},
+		{"none near", "b", "west", []fleet.Member{a1, a2, c}, []string{"a1:2", "a2:2"}},
+		{"none in the region", "c", "east", []fleet.Member{a1, a2}, []string{"a1:2", "a2:2"}},
+		{"a data centre without daemons", "d", "east", []fleet.Member{a1, a2, c}, []string{"c:2"}},
+		{"a caller that names no place", "", "", []fleet.Member{a1, c}, []string{"a1:2", "c:2"}},
+		{"nobody", "a", "west", nil, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r.serving = tc.serving
+			assert.ElementsMatch(t, tc.want, r.Addresses(tc.dataCentre, tc.region))
+		})
+	}
+}
--- a/entry/routing/facts.go
+++ b/entry/routing/facts.go
@@ -100,6 +100,13 @@
 	e.set.Hear(e.parts.Clock.Now(), told)
 }
 
+// SetRegions says in which region each data centre is.
+func (e *Engine) SetRegions(regions map[string]string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.set.SetRegions(regions)
+}
+
 // SetBudget changes the fleet-wide budget of repeated requests.
 func (e *Engine) SetBudget(budget replica.BudgetPolicy) {
 	e.mu.Lock()
