dispatch, routing, gateway: shards elsewhere are gathered by a daemon there

Change: three such shards or more are delegated to a daemon of the data centre that has most of them; it asks one replica for each and returns one merged part, with a first report when a hedge is due. Hedges are sent by the daemon that asked.

--- a/core/dispatch/action.go
+++ b/core/dispatch/action.go
@@ -13,6 +13,13 @@
 	// Send starts an exchange. Its end is reported with Ended exactly once,
 	// also after the request has finished.
 	Send ActionKind = iota
+	// Delegate asks a daemon of another data centre to gather shards. Its end is
+	// reported with Delegated exactly once, also after the request has finished,
+	// and some shards may be reported before it.
+	Delegate
+	// Report tells the daemon that has delegated the request the parts that are
+	// there. Those of the Finish that follows are the others.
+	Report
 	// Abandon says that the answer of an exchange is no longer wanted. Its
 	// connection is closed, so that the replica drops the request.
 	Abandon
@@ -37,19 +44,23 @@
 
 // Action is an instruction of a Request to its adapter.
 type Action struct {
-	kind    ActionKind
-	attempt int
-	shard   int
-	purpose Purpose
-	replica *replica.Replica
-	at      clock.Millis
-	outcome Outcome
+	kind       ActionKind
+	attempt    int
+	shard      int
+	purpose    Purpose
+	replica    *replica.Replica
+	at         clock.Millis
+	shards     []string
+	dataCentre string
+	reportIn   clock.Millis
+	outcome    Outcome
 }
 
 // Kind returns what to do.
 func (a Action) Kind() ActionKind { return a.kind }
 
-// Attempt numbers the exchange that is started or abandoned, from zero.
+// Attempt numbers the exchange or delegation that is started or abandoned, from
+// zero.
 func (a Action) Attempt() int { return a.attempt }
 
 // Shard returns the shard of a Send; 0 on a route to one replica.
@@ -61,10 +72,19 @@
 // Replica returns the replica of a Send.
 func (a Action) Replica() *replica.Replica { return a.replica }
 
-// At returns the instant of a Wake, or the deadline of a Send.
+// Shards returns the services that a Delegate hands over.
+func (a Action) Shards() []string { return a.shards }
+
+// DataCentre returns where the daemon is that gets a Delegate.
+func (a Action) DataCentre() string { return a.dataCentre }
+
+// ReportIn returns when the daemon that gets a Delegate reports what it has.
+func (a Action) ReportIn() clock.Millis { return a.reportIn }
+
+// At returns the instant of a Wake, or the deadline of a Send or a Delegate.
 func (a Action) At() clock.Millis { return a.at }
 
-// Outcome returns the outcome of a Finish.
+// Outcome returns the outcome of a Finish or a Report.
 func (a Action) Outcome() Outcome { return a.outcome }
 
 // OutcomeKind says how a request ended.
@@ -74,7 +94,7 @@
 const (
 	// Answered passes on the answer of the exchange Attempt.
 	Answered OutcomeKind = iota
-	// Gathered merges the answers of the exchanges Parts.
+	// Gathered merges the answers of the exchanges and the delegation in Parts.
 	Gathered
 	// Refused means that no replica ran the request and none will.
 	Refused
@@ -96,6 +116,7 @@
 	kind       OutcomeKind
 	attempt    int
 	parts      []int
+	shards     []string
 	missing    []string
 	retryAfter clock.Millis
 	busy       bool
@@ -108,9 +129,13 @@
 // Attempt returns the exchange whose answer is passed on.
 func (o Outcome) Attempt() int { return o.attempt }
 
-// Parts returns the exchanges whose answers are merged.
+// Parts returns the exchanges whose answers are merged, and the delegation if it
+// is one of them.
 func (o Outcome) Parts() []int { return o.parts }
 
+// Shards returns the shards that are in.
+func (o Outcome) Shards() []string { return o.shards }
+
 // Missing returns the shards that are left out.
 func (o Outcome) Missing() []string { return o.missing }
 
--- /dev/null
+++ b/core/dispatch/delegation_test.go
@@ -0,0 +1,202 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/replica"
+	"github.com/lovagegap/lovagegap/core/route"
+)
+
+// elsewhere is a request over shards, each with a replica in the given data
+// centres. The daemon is in a, and there is a daemon in b.
+type elsewhere struct {
+	t       *testing.T
+	set     *replica.Set
+	profile Profile
+	gate    Gate
+	request *Request
+	sends   []Action
+	asks    []Action
+	reports []Outcome
+	outcome *Outcome
+	dropped []int
+}
+
+func newElsewhere(t *testing.T, shards int, dataCentres ...string) *elsewhere {
+	f := &elsewhere{t: t}
+	f.set = replica.NewSet("a", rand.New(rand.NewPCG(1, 2)), replica.BudgetPolicy{
+		Ratio: 0.2, Slack: 50, Span: 10 * clock.Second, Began: -10 * clock.Second,
+	})
+	var services []string
+	for i := range shards {
+		service := "s" + string(rune('0'+i))
+		services = append(services, service)
+		for _, dataCentre := range dataCentres {
+			id := service + "-" + dataCentre
+			f.set.Put(0, replica.NewEntry(replica.Spec{ID: id, Service: service, Address: id, DataCentre: dataCentre, Slots: 2}))
+		}
+	}
+	spec := gather(services...)
+	spec.Name, spec.Host, spec.Prefix, spec.Timeout, spec.Objective, spec.Attempts = "r", "h", "/", 600, 100, 2
+	r, err := route.NewRoute(spec)
+	require.NoError(t, err)
+	f.request = New(0, r, 600, Resources{Set: f.set, Profile: &f.profile, Gate: &f.gate, Delegates: []string{"b"}})
+	return f
+}
+
+func (f *elsewhere) take(actions []Action) {
+	for _, action := range actions {
+		switch action.Kind() {
+		case Send:
+			f.sends = append(f.sends, action)
+		case Delegate:
+			f.asks = append(f.asks, action)
+		case Report:
+			f.reports = append(f.reports, action.Outcome())
+		case Abandon:
+			f.dropped = append(f.dropped, action.Attempt())
+		case Finish:
+			outcome := action.Outcome()
+			f.outcome = &outcome
+		}
+	}
+}
+
+func (f *elsewhere) start() { f.take(f.request.Start(0)) }
+
+func (f *elsewhere) told(now clock.Millis, last bool, shards ...string) {
+	f.take(f.request.Delegated(now, shards, last, false))
+}
+
+// sentTo returns the replicas to which exchanges were sent, in order of names.
+func (f *elsewhere) sentTo() []string {
+	var ids []string
+	for _, send := range f.sends {
+		ids = append(ids, send.Replica().Entry().ID())
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Guards against bytes between data centres for each shard where those of one
+// answer are enough (pattern: many shards without a replica near the daemon),
+// and against hedges of shards whose parts are on their way.
+func TestShardsElsewhereAreDelegated(t *testing.T) {
+	f := newElsewhere(t, 4, "b", "c")
+	f.start()
+	require.Len(t, f.asks, 1)
+	assert.Equal(t, "b", f.asks[0].DataCentre())
+	assert.Equal(t, []string{"s0", "s1", "s2", "s3"}, f.asks[0].Shards())
+	assert.Empty(t, f.sends)
+
+	f.told(30, false, "s0", "s1")
+	f.take(f.request.Tick(30))
+	assert.Equal(t, []string{"s2-c", "s3-c"}, f.sentTo(), "hedges, to other data centres")
+	f.take(f.request.Ended(35, f.sends[0].Attempt(), replica.OK))
+	f.take(f.request.Ended(36, f.sends[1].Attempt(), replica.OK))
+	require.NotNil(t, f.outcome)
+	assert.Equal(t, Gathered, f.outcome.Kind())
+	assert.Equal(t, []int{f.asks[0].Attempt(), f.sends[0].Attempt(), f.sends[1].Attempt()}, f.outcome.Parts())
+	assert.Contains(t, f.dropped, f.asks[0].Attempt(), "the other daemon is told")
+}
+
+// Guards against a shard that is in an answer twice: a merged part holds it and
+// the answer to a hedge too.
+func TestMergedPartIsUsedAsAWhole(t *testing.T) {
+	f := newElsewhere(t, 4, "b", "c")
+	f.start()
+	f.told(30, false, "s0")
+	f.take(f.request.Tick(30))
+	require.Equal(t, []string{"s1-c", "s2-c", "s3-c"}, f.sentTo())
+	for i, send := range f.sends[:2] {
+		f.take(f.request.Ended(clock.Millis(35+i), send.Attempt(), replica.OK))
+	}
+	require.Nil(t, f.outcome)
+	f.told(40, true, "s1", "s2", "s3")
+	require.NotNil(t, f.outcome)
+	assert.Equal(t, []int{f.asks[0].Attempt()}, f.outcome.Parts())
+	assert.Empty(t, f.outcome.Missing())
+}
+
+// Guards against a request that is lost with the daemon that gathers for it.
+func TestDelegationThatFails(t *testing.T) {
+	t.Run("not run", func(t *testing.T) {
+		f := newElsewhere(t, 4, "b", "c")
+		f.start()
+		before := f.set.Budgets(5)
+		f.take(f.request.Delegated(5, nil, true, true))
+		assert.Len(t, f.sends, 4)
+		assert.Equal(t, before, f.set.Budgets(5), "first exchanges need no budget")
+	})
+	t.Run("link lost", func(t *testing.T) {
+		f := newElsewhere(t, 4, "b", "c")
+		f.start()
+		before := f.set.Budgets(5)["s0"]
+		f.told(5, true)
+		assert.Equal(t, []string{"s0-c", "s1-c", "s2-c", "s3-c"}, f.sentTo())
+		assert.InDelta(t, before-1, f.set.Budgets(5)["s0"], 0.01, "the other daemon may have sent it")
+		for _, send := range f.sends {
+			f.take(f.request.Ended(20, send.Attempt(), replica.Failed))
+		}
+		require.NotNil(t, f.outcome, "no more replicas than the route allows")
+		assert.NotEqual(t, Refused, f.outcome.Kind(), "the other daemon may have sent it")
+	})
+	t.Run("frozen", func(t *testing.T) {
+		f := newElsewhere(t, 4, "b", "c")
+		f.start()
+		for now := clock.Millis(0); now < 100 && len(f.sends) == 0; now++ {
+			f.take(f.request.Tick(now))
+		}
+		assert.Len(t, f.sends, 4, "hedged before the objective")
+	})
+}
+
+// Guards against a delegation that saves nothing or takes the chance of a hedge.
+func TestNotDelegated(t *testing.T) {
+	for name, f := range map[string]*elsewhere{
+		"few shards":             newElsewhere(t, minDelegated-1, "b", "c"),
+		"replicas near":          newElsewhere(t, 4, "a", "b", "c"),
+		"no replica for a hedge": newElsewhere(t, 4, "b"),
+		"no daemon there":        newElsewhere(t, 4, "c", "d"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f.start()
+			assert.Empty(t, f.asks)
+			assert.Len(t, f.sends, len(f.request.shards))
+		})
+	}
+}
+
+// Guards against a daemon that gathers for another one and withholds parts for
+// the slowest one, asks in other data centres, or counts the request again.
+func TestGatheringForAnotherDaemon(t *testing.T) {
+	f := newElsewhere(t, 4, "a", "b")
+	f.set.Drop("s3-a")
+	r := f.request.route
+	before := f.set.Budgets(0)
+	f.request = New(0, r, 600, Resources{Set: f.set, Profile: &f.profile, Gate: &f.gate, Delegated: true, ReportIn: 20})
+	f.start()
+	assert.Equal(t, []string{"s0-a", "s1-a", "s2-a"}, f.sentTo(), "its own data centre only")
+	f.take(f.request.Ended(5, f.sends[0].Attempt(), replica.OK))
+	assert.Empty(t, f.reports, "more may come")
+	f.take(f.request.Tick(20))
+	require.Len(t, f.reports, 1)
+	assert.Equal(t, []string{"s0"}, f.reports[0].Shards())
+	f.take(f.request.Ended(40, f.sends[1].Attempt(), replica.OK))
+	require.Len(t, f.reports, 2)
+	assert.Equal(t, []string{"s1"}, f.reports[1].Shards(), "each one only once")
+	assert.Equal(t, []int{f.sends[1].Attempt()}, f.reports[1].Parts())
+	for now := clock.Millis(41); f.outcome == nil; now++ {
+		require.Less(t, now, clock.Millis(700))
+		f.take(f.request.Tick(now))
+	}
+	assert.Empty(t, f.outcome.Shards())
+	assert.Equal(t, []string{"s2", "s3"}, f.outcome.Missing())
+	assert.Equal(t, before, f.set.Budgets(0), "counted by the daemon that asked")
+}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -58,20 +58,33 @@
 	Gate    *Gate
 	Later   bool    // whether a more urgent route shares the services
 	Draw    float64 // uniform in [0, 1): chooses between the services of a split
+	// Delegates are the data centres with a daemon that can gather shards.
+	Delegates []string
+	// Delegated means that another daemon has delegated the request to this one:
+	// it has let the request in and counted it, and takes any number of parts.
+	Delegated bool
+	// ReportIn is when that daemon is told which parts are there. From then on it
+	// is told each one at once.
+	ReportIn clock.Millis
 }
 
 // Request is the state of one request. It is not safe for concurrent use.
 type Request struct {
-	route    *route.Route
-	profile  *Profile
-	gate     *Gate
-	later    bool
-	began    clock.Millis
-	cut      clock.Millis // from here on an answer need not be complete
-	final    clock.Millis // from here on there is no time for an answer
-	deadline clock.Millis
-	expected clock.Millis
-	work     clock.Millis // time for which an exchange occupies a slot
+	route      *route.Route
+	profile    *Profile
+	gate       *Gate
+	later      bool
+	delegates  []string
+	delegated  bool
+	reportAt   clock.Millis
+	reported   bool        // the first report was made
+	delegation *delegation // nil without one
+	began      clock.Millis
+	cut        clock.Millis // from here on an answer need not be complete
+	final      clock.Millis // from here on there is no time for an answer
+	deadline   clock.Millis
+	expected   clock.Millis
+	work       clock.Millis // time for which an exchange occupies a slot
 
 	shards   []shard
 	attempts []attempt
@@ -98,12 +111,17 @@
 	deadline = min(deadline, now+r.Timeout())
 	q := &Request{
 		route: r, profile: res.Profile, gate: res.Gate, later: res.Later,
+		delegates: res.Delegates, reportAt: never,
 		began: now, deadline: deadline, wakeAt: never,
 		cut:      now + r.Objective() - max(minCut, r.Objective()*cutShare),
 		final:    deadline - min(finalMargin, (deadline-now)/8),
 		expected: res.Profile.Expected(r.Objective()),
 		work:     res.Profile.Work(r.Objective()),
 	}
+	if res.Delegated {
+		q.delegated = true
+		q.reportAt, q.cut = now+res.ReportIn, q.final
+	}
 	services := r.Shards()
 	if services == nil {
 		services = []string{r.Choose(res.Draw)}
@@ -122,9 +140,11 @@
 // Start sends the first exchanges, or refuses the request at once if it cannot
 // be served.
 func (q *Request) Start(now clock.Millis) []Action {
-	q.nextWake = min(q.cut, q.final)
+	q.nextWake = min(q.cut, q.final, q.reportAt)
 	for i := range q.shards {
-		q.shards[i].pool.Budget().Regular(now)
+		if !q.delegated {
+			q.shards[i].pool.Budget().Regular(now)
+		}
 	}
 	if now >= q.final {
 		return q.refuse(now, "no time left")
@@ -135,8 +155,11 @@
 	if ok, after := q.admitted(now); !ok {
 		return q.finish(Outcome{kind: Refused, retryAfter: min(maxRetryAfter, max(minRetryAfter, after)), busy: true, reason: "too much work is waiting"})
 	}
+	q.delegate(now)
 	for i := range q.shards {
-		q.first(now, i)
+		if q.shards[i].pending == 0 {
+			q.first(now, i)
+		}
 	}
 	return q.settle(now)
 }
@@ -150,7 +173,7 @@
 			found++
 		}
 	}
-	return found >= q.needed()
+	return found >= max(1, q.needed())
 }
 
 // reason returns the text for a route to one service or over many shards.
@@ -163,10 +186,14 @@
 
 // needed returns how many shards an answer must have.
 func (q *Request) needed() int {
-	if q.route.Shards() == nil {
+	switch {
+	case q.delegated:
+		return 0
+	case q.route.Shards() == nil:
 		return 1
+	default:
+		return q.route.MinShards()
 	}
-	return q.route.MinShards()
 }
 
 // Ended takes the end of an exchange. The evidence about the replica counts in
@@ -217,8 +244,11 @@
 	}
 	q.wakeAt = never
 	q.nextWake = q.final
+	if now < q.reportAt {
+		q.nextWake = min(q.nextWake, q.reportAt)
+	}
 	if now < q.cut {
-		q.nextWake = min(q.cut, q.final)
+		q.nextWake = min(q.nextWake, q.cut)
 	}
 	if now < q.final {
 		for i := range q.shards {
@@ -250,6 +280,9 @@
 	case now >= q.final:
 		return q.timeOut(now)
 	}
+	if now >= q.reportAt {
+		q.report()
+	}
 	for i := range q.shards {
 		s := &q.shards[i]
 		switch {
--- a/core/dispatch/gate.go
+++ b/core/dispatch/gate.go
@@ -48,6 +48,9 @@
 // room for it. The longer the more requests were refused lately, so that those
 // that come back do not meet the same crowd.
 func (q *Request) admitted(now clock.Millis) (bool, clock.Millis) {
+	if q.delegated {
+		return true, 0 // let in by the other daemon
+	}
 	allowed := q.route.Objective() * gateShare
 	if q.later {
 		allowed *= laterShare
--- a/core/dispatch/outcome.go
+++ b/core/dispatch/outcome.go
@@ -8,15 +8,7 @@
 	if q.route.Shards() == nil {
 		return q.finish(Outcome{kind: Answered, attempt: q.shards[0].winner, reason: reason})
 	}
-	outcome := Outcome{kind: Gathered, parts: make([]int, 0, q.covered), reason: reason}
-	for i := range q.shards {
-		if s := &q.shards[i]; s.winner >= 0 {
-			outcome.parts = append(outcome.parts, s.winner)
-		} else {
-			outcome.missing = append(outcome.missing, s.pool.Service())
-		}
-	}
-	return q.finish(outcome)
+	return q.finish(q.gathered(reason))
 }
 
 // giveUp ends a request that no replica can answer any more.
--- a/core/dispatch/shard.go
+++ b/core/dispatch/shard.go
@@ -18,6 +18,7 @@
 	reply    int // last exchange that ended with a replica's own failure, or -1
 	winner   int // exchange that covered the shard, or -1
 	lost     bool
+	reported bool // to the daemon that has delegated the request
 	hedgeAt  clock.Millis
 	retryAt  clock.Millis
 }
@@ -29,6 +30,9 @@
 	if !q.route.Idempotent() {
 		ask = ask.Careful()
 	}
+	if q.delegated {
+		ask = ask.Near()
+	}
 	return s.pool.Pick(now, ask)
 }
 
@@ -46,7 +50,7 @@
 	s := &q.shards[i]
 	s.tried = append(s.tried, r)
 	s.pending++
-	s.hedgeAt = now + max(minHedge, q.expected*hedgeFactor)
+	s.hedgeAt = now + q.hedgeDelay()
 	r.Begin(now, q.work)
 	q.attempts = append(q.attempts, attempt{shard: i, replica: r, began: now})
 	q.actions = append(q.actions, Action{
@@ -54,6 +58,9 @@
 	})
 }
 
+// hedgeDelay is the time after which an answer is late.
+func (q *Request) hedgeDelay() clock.Millis { return max(minHedge, q.expected*hedgeFactor) }
+
 func (q *Request) cover(i, number int) {
 	s := &q.shards[i]
 	s.winner = number
--- a/core/replica/pick.go
+++ b/core/replica/pick.go
@@ -29,6 +29,7 @@
 	enough   clock.Millis
 	tried    []*Replica
 	regions  []string
+	near     bool
 	careful  bool
 }
 
@@ -53,8 +54,18 @@
 	return a
 }
 
-// allows reports whether the request may be sent to the replica's region.
+// Near returns the ask for a request that must stay in the daemon's own data
+// centre.
+func (a Ask) Near() Ask {
+	a.near = true
+	return a
+}
+
+// allows reports whether the request may be sent where the replica is.
 func (a *Ask) allows(r *Replica) bool {
+	if a.near && !r.Near() {
+		return false
+	}
 	return len(a.regions) == 0 || (r.region != "" && slices.Contains(a.regions, r.region))
 }
 
@@ -137,6 +148,37 @@
 	return [distances]clock.Millis{sameDataCentre: 0, sameRegion: farTrip, otherRegion: abroadTrip}[d]
 }
 
+// Near reports whether the replica is in the daemon's own data centre.
+func (r *Replica) Near() bool { return r.distance == sameDataCentre }
+
+// Around counts the replicas that may be asked for a request that must stay in
+// the given regions: those of a data centre of the daemon's own region, and the
+// others.
+func (p *Pool) Around(now clock.Millis, dataCentre string, regions []string) (inside, outside int) {
+	ask := Ask{regions: regions}
+	for _, r := range p.replicas {
+		switch {
+		case !r.usable(now) || !ask.allows(r):
+		case r.entry.DataCentre() != dataCentre:
+			outside++
+		case r.distance == sameRegion:
+			inside++
+		}
+	}
+	return inside, outside
+}
+
+// In returns the replicas of a data centre.
+func (p *Pool) In(dataCentre string) []*Replica {
+	var found []*Replica
+	for _, r := range p.replicas {
+		if r.entry.DataCentre() == dataCentre {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
 // Others returns the replicas that are not among the given ones.
 func (p *Pool) Others(given []*Replica) []*Replica {
 	var others []*Replica
--- a/entry/codec/codec.go
+++ b/entry/codec/codec.go
@@ -11,6 +11,8 @@
 package codec
 
 import (
+	"io"
+
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 )
@@ -49,3 +51,24 @@
 	}
 	return nil
 }
+
+// Decoder reads values that follow one another.
+type Decoder struct{ inner *cbor.Decoder }
+
+// NewDecoder returns a decoder of what r yields. It reads more than it needs.
+func NewDecoder(r io.Reader) *Decoder { return &Decoder{inner: mode.NewDecoder(r)} }
+
+// Decode reads the next value into the value that into points to. It returns
+// io.EOF after the last one, the error of the reader, or ErrMalformed.
+func (d *Decoder) Decode(into any) error {
+	err := d.inner.Decode(into)
+	var malformed *cbor.SyntaxError
+	switch {
+	case err == nil, errors.Is(err, io.EOF):
+		return err
+	case errors.As(err, &malformed):
+		return errors.Mark(errors.Wrap(err, "decode"), ErrMalformed)
+	default:
+		return errors.Wrap(err, "decode")
+	}
+}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -118,17 +118,18 @@
 	now := ports.Clock.Now()
 	g := &Gateway{config: config, ports: ports, log: ports.Log, began: now, complete: make(chan struct{})}
 	config.Budget.Began = now
+	self := fleet.NewMember(fleet.ID(config.Peers), config.Callers, config.DataCentre, config.Region,
+		uint64(time.Now().UnixMilli()))
+	helpers := newDelegates(ports.Clock, self, config.Key, derive(ports.Random))
 	g.engine = routing.New(routing.Parts{
 		Clock: ports.Clock, Log: g.log.WithName("routing"), DataCentre: config.DataCentre,
 		Names: config.Callees, Random: derive(ports.Random), Budget: config.Budget, Meter: ports.Meter,
-		Routine: ports.Routine, Crashed: g.tellCrash,
+		Routine: ports.Routine, Crashed: g.tellCrash, Delegates: helpers,
 	})
-	self := fleet.NewMember(fleet.ID(config.Peers), config.Callers, config.DataCentre, config.Region,
-		uint64(time.Now().UnixMilli()))
 	g.roster = roster.New(roster.Parts{
 		Clock: ports.Clock, Log: g.log.WithName("roster"), Self: self, Random: derive(ports.Random),
 		Changed: g.engine.SetDaemons, Sources: func(peers []string) { g.view.setSources(peers) },
-		Regions: g.engine.SetRegions, Record: g.hearRecord,
+		Regions: g.engine.SetRegions, Serving: helpers.set, Record: g.hearRecord,
 	})
 	g.hub = peers.New(peers.Control, peers.NewIdentity(config.Peers, self.Incarnation()),
 		[][]byte{config.Key}, g.roster, g.log.WithName("peers"))
--- a/entry/gateway/share.go
+++ b/entry/gateway/share.go
@@ -30,7 +30,7 @@
 	maxShare     = 64 << 20
 )
 
-var errShare = errors.New("peer did not share its mirror")
+var errShare = errors.New("peer did not answer")
 
 // viewItem is an item of the store between daemons.
 type viewItem struct {
@@ -97,27 +97,35 @@
 func (g *Gateway) controlHandler() http.Handler {
 	e := echo.New()
 	e.GET(string(peers.Control), echo.WrapHandler(g.hub))
+	e.POST(gatherPath, g.gather)
 	e.POST(sharePath, func(c echo.Context) error {
-		text, err := io.ReadAll(io.LimitReader(c.Request().Body, maxAsk))
-		if err != nil {
-			return err
-		}
-		if !hmac.Equal([]byte(c.Request().Header.Get(proofHeader)), []byte(proof(g.config.Key, text))) {
-			return c.NoContent(http.StatusForbidden)
-		}
 		var ask viewAsk
-		if err := codec.Decode(text, &ask); err != nil {
-			return c.String(http.StatusBadRequest, err.Error())
+		if status, err := g.readAsk(c, maxAsk, &ask); err != nil {
+			return c.String(status, err.Error())
 		}
 		body, err := codec.Encode(g.view.await(c.Request().Context(), ask))
 		if err != nil {
 			return err
 		}
-		return c.Blob(http.StatusOK, "application/cbor", body)
+		return c.Blob(http.StatusOK, mimeCBOR, body)
 	})
 	return e
 }
 
+const mimeCBOR = "application/cbor"
+
+// readAsk reads what another daemon asks. The status goes with an error.
+func (g *Gateway) readAsk(c echo.Context, limit int64, ask any) (status int, err error) {
+	text, err := io.ReadAll(io.LimitReader(c.Request().Body, limit))
+	if err != nil {
+		return http.StatusBadRequest, err
+	}
+	if !hmac.Equal([]byte(c.Request().Header.Get(proofHeader)), []byte(proof(g.config.Key, text))) {
+		return http.StatusForbidden, errors.Wrap(errShare, "no proof of the key")
+	}
+	return http.StatusBadRequest, codec.Decode(text, ask)
+}
+
 // proof shows that a request comes from a daemon of the same deployment.
 func proof(key, text []byte) string {
 	mac := hmac.New(sha256.New, key)
@@ -134,28 +142,42 @@
 func fetch(ctx context.Context, key []byte, peer string, ask viewAsk) (viewReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout+clock.Millis(ask.Wait).Duration())
 	defer cancel()
-	text, err := codec.Encode(ask)
+	reply, err := post(ctx, shareClient, key, peer+sharePath, ask)
 	if err != nil {
 		return viewReply{}, err
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer+sharePath, bytes.NewReader(text))
-	if err != nil {
-		return viewReply{}, err
+	defer reply.Close()
+	var view viewReply
+	body, err := io.ReadAll(io.LimitReader(reply, maxShare))
+	if err == nil {
+		err = codec.Decode(body, &view)
 	}
-	request.Header.Set("Content-Type", "application/cbor")
-	request.Header.Set(proofHeader, proof(key, text))
-	response, err := shareClient.Do(request)
 	if err != nil {
 		return viewReply{}, errors.Wrapf(errShare, "%v", err)
 	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxShare))
-	if err != nil || response.StatusCode != http.StatusOK {
-		return viewReply{}, errors.Wrapf(errShare, "status %d", response.StatusCode)
+	return view, nil
+}
+
+// post asks another daemon and returns its answer, which the caller closes. It
+// returns errShare.
+func post(ctx context.Context, client *http.Client, key []byte, address string, ask any) (io.ReadCloser, error) {
+	text, err := codec.Encode(ask)
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address, bytes.NewReader(text))
+	if err != nil {
+		return nil, err
 	}
-	var reply viewReply
-	if err := codec.Decode(body, &reply); err != nil {
-		return viewReply{}, errors.Wrapf(errShare, "%v", err)
+	request.Header.Set("User-Agent", "") // bytes between data centres cost
+	request.Header.Set(proofHeader, proof(key, text))
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, errors.Wrapf(errShare, "%v", err)
+	}
+	if response.StatusCode != http.StatusOK {
+		_ = response.Body.Close()
+		return nil, errors.Wrapf(errShare, "status %d", response.StatusCode)
 	}
-	return reply, nil
+	return response.Body, nil
 }
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -53,6 +53,9 @@
 	// Regions is called with the region of each known data centre. It must not
 	// call back, and must not change what it gets.
 	Regions func(regions map[string]string)
+	// Serving is called with the members that serve callers. It must not call
+	// back, and must not keep what it gets.
+	Serving func(members []fleet.Member)
 	// Record takes a record of another subsystem that a peer has published. It
 	// must not call back.
 	Record func(record fleet.Record)
@@ -187,6 +190,7 @@
 			delete(r.lastServed, m.Callers())
 		}
 	}
+	r.parts.Serving(r.serving)
 	r.remember()
 	r.count()
 	r.parts.Sources(r.sources())
--- a/entry/routing/call.go
+++ b/entry/routing/call.go
@@ -19,8 +19,13 @@
 	route     *route.Route
 	began     clock.Millis
 	state     *dispatch.Request
-	exchanges []*exchange.Exchange
+	exchanges []interface{ Abandon() } // by attempt, as the replies and the steps
 	replies   []*exchange.Reply
+	part      Part // of the delegation
+	delegated bool // by another daemon
+	reportIn  clock.Millis
+	early     chan Answer // reports to that daemon
+	report    func(Part)
 	steps     []step
 	version   uint64 // of the configuration
 	timer     *time.Timer
@@ -44,6 +49,12 @@
 		return
 	}
 	resources := e.resources(c.route)
+	switch {
+	case c.delegated:
+		resources.Delegated, resources.ReportIn = true, c.reportIn
+	case e.parts.Delegates != nil && c.route.Shards() != nil:
+		resources.Delegates = e.parts.Delegates.DataCentres()
+	}
 	if e.stopAt > 0 {
 		if now+resources.Profile.Expected(c.route.Objective())*2 > e.stopAt {
 			c.finish(refusal(http.StatusServiceUnavailable, "the daemon stops", leavingRetry), "refused", nil)
@@ -62,6 +73,10 @@
 		switch action.Kind() {
 		case dispatch.Send:
 			c.send(now, action)
+		case dispatch.Delegate:
+			c.delegate(now, action)
+		case dispatch.Report:
+			c.early <- c.gather(action.Outcome())
 		case dispatch.Abandon:
 			c.exchanges[action.Attempt()].Abandon()
 		case dispatch.Wake:
@@ -146,11 +161,7 @@
 	case dispatch.Answered:
 		answer = passOn(c.replies[outcome.Attempt()])
 	case dispatch.Gathered:
-		parts := make([]*exchange.Reply, len(outcome.Parts()))
-		for i, attempt := range outcome.Parts() {
-			parts[i] = c.replies[attempt]
-		}
-		answer = merge(c.route, parts, len(outcome.Missing()))
+		answer = c.gather(outcome)
 	case dispatch.Refused:
 		answer = refusal(http.StatusServiceUnavailable, outcome.Reason(), outcome.RetryAfter())
 	case dispatch.Unavailable:
@@ -161,11 +172,27 @@
 		answer = Answer{status: statusCallerLeft, gone: true}
 	}
 	now := c.engine.parts.Clock.Now()
-	c.engine.reach.Finished(now, outcome)
-	c.noteCrash(now, outcome.Kind())
+	if !c.delegated {
+		c.engine.reach.Finished(now, outcome)
+		c.noteCrash(now, outcome.Kind())
+	}
 	c.finish(answer, outcome.Kind().String(), outcome.Missing())
 }
 
+// gather merges the parts of an answer over many shards.
+func (c *call) gather(outcome dispatch.Outcome) Answer {
+	parts := make([]Part, len(outcome.Parts()))
+	for i, attempt := range outcome.Parts() {
+		parts[i] = c.part
+		if reply := c.replies[attempt]; reply != nil {
+			parts[i] = partOf(reply)
+		}
+	}
+	answer := merge(c.route, parts, outcome.Missing())
+	answer.shards, answer.lost = outcome.Shards(), c.lost()
+	return answer
+}
+
 // statusCallerLeft is only counted; nobody reads it.
 const statusCallerLeft = 499
 
@@ -190,7 +217,9 @@
 		c.timer.Stop()
 	}
 	now := e.parts.Clock.Now()
-	e.parts.Meter.Finished(c.route, outcome, answer.status, answer.missing, now-c.began)
+	if !c.delegated {
+		e.parts.Meter.Finished(c.route, outcome, answer.status, answer.Missing(), now-c.began)
+	}
 	c.log(now, answer, outcome, missing)
 	c.done <- answer
 }
--- a/entry/routing/crash.go
+++ b/entry/routing/crash.go
@@ -54,12 +54,20 @@
 	default:
 		return
 	}
+	if lost := c.lost(); lost != "" {
+		e.crashed(now, c.request.fingerprint(), lost, c.began)
+	}
+}
+
+// lost returns a replica whose connection was lost, here or at the daemon to
+// which shards were delegated, or "".
+func (c *call) lost() string {
 	for i := range c.steps {
 		if c.steps[i].Result == replica.Lost.String() {
-			e.crashed(now, c.request.fingerprint(), c.steps[i].Replica, c.began)
-			return
+			return c.steps[i].Replica
 		}
 	}
+	return c.part.Lost
 }
 
 // crashed counts a lost try, and tells the peers of it.
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -43,6 +43,8 @@
 	// Crashed tells the peers of a request that may have crashed a replica; nil
 	// tells nobody. It is called under the lock of the engine.
 	Crashed func(f quarantine.Fingerprint, replica string)
+	// Delegates gather shards in other data centres; nil if nobody does.
+	Delegates Delegates
 }
 
 // Meter counts what the engine does. Its methods are called under the lock of
@@ -104,7 +106,9 @@
 	reply      *exchange.Reply
 	body       []byte
 	seals      []string
-	missing    int
+	shards     []string // that are in
+	lost       string   // replica whose connection was lost, told to the daemon that delegated
+	missing    []string
 	retryAfter clock.Millis
 	reason     string
 	gone       bool
@@ -123,7 +127,7 @@
 func (a Answer) Seals() []string { return a.seals }
 
 // Missing returns how many shards are left out.
-func (a Answer) Missing() int { return a.missing }
+func (a Answer) Missing() int { return len(a.missing) }
 
 // RetryAfter returns when a refused request may be sent again, or 0.
 func (a Answer) RetryAfter() clock.Millis { return a.retryAfter }
@@ -173,14 +177,24 @@
 // Do runs a request on a route that Admit returned. It returns when there is an
 // answer or ctx ends because the caller left.
 func (e *Engine) Do(ctx context.Context, r *route.Route, request Request) Answer {
-	c := &call{engine: e, request: request, route: r, done: make(chan Answer, 1)}
+	return e.do(ctx, &call{engine: e, request: request, route: r, done: make(chan Answer, 1)})
+}
+
+func (e *Engine) do(ctx context.Context, c *call) Answer {
 	c.start()
-	select {
-	case answer := <-c.done:
-		return answer
-	case <-ctx.Done():
-		c.cancel()
-		return <-c.done
+	for {
+		select {
+		case early := <-c.early:
+			c.report(early.part())
+		case answer := <-c.done:
+			for len(c.early) > 0 { // the answer does not hold their parts
+				c.report((<-c.early).part())
+			}
+			return answer
+		case <-ctx.Done():
+			c.cancel()
+			return <-c.done
+		}
 	}
 }
 
@@ -246,12 +260,12 @@
 }
 
 // merge returns the answer over the shards that are in.
-func merge(r *route.Route, parts []*exchange.Reply, missing int) Answer {
+func merge(r *route.Route, parts []Part, missing []string) Answer {
 	var records topk.Merger
-	answer := Answer{status: http.StatusOK, missing: missing, seals: make([]string, len(parts))}
-	for i, part := range parts {
-		records.Add(part.Body())
-		answer.seals[i] = part.Seal()
+	answer := Answer{status: http.StatusOK, missing: missing}
+	for _, part := range parts {
+		records.Add(part.Records)
+		answer.seals = append(answer.seals, part.Seals...)
 	}
 	answer.body = records.Greatest(r.TopK())
 	return answer
