--- a/core/dispatch/delegation.go
+++ b/core/dispatch/delegation.go
@@ -123,14 +123,15 @@
 	if !s.open() {
 		return
 	}
-	if notRun {
-		s.tried = nil
-	} else {
+	if !notRun {
 		s.arrived++
 	}
 	if s.pending > 0 {
 		return
 	}
+	if notRun {
+		s.tried = nil
+	}
 	q.again(now, i)
 }
 
--- a/entry/gateway/delegates.go
+++ b/entry/gateway/delegates.go
@@ -70,6 +70,24 @@
 	}
 }
 
+const (
+	maxGatherTime     = float64(clock.Hour)
+	maxGatherServices = 4096
+)
+
+// check returns errShare for an ask that no daemon sends.
+func (a gatherAsk) check() error {
+	for _, time := range []float64{a.Left, a.Objective, a.ReportIn} {
+		if !(time > 0 && time <= maxGatherTime) {
+			return errors.Wrapf(errShare, "a time of %v ms", time)
+		}
+	}
+	if len(a.Services) == 0 || len(a.Services) > maxGatherServices {
+		return errors.Wrapf(errShare, "%d services", len(a.Services))
+	}
+	return nil
+}
+
 func (a gatherAsk) ask() routing.Ask {
 	return routing.Ask{
 		Request: routing.Request{
@@ -250,6 +268,9 @@
 	if status, err := g.readAsk(c, maxGather, &wire); err != nil {
 		return c.String(status, err.Error())
 	}
+	if err := wire.check(); err != nil {
+		return c.String(http.StatusBadRequest, err.Error())
+	}
 	response := c.Response()
 	response.Header().Set(echo.HeaderContentType, mimeCBOR)
 	send := func(part routing.Part, more bool) error {
--- a/entry/gateway/delegates_test.go
+++ b/entry/gateway/delegates_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -43,7 +44,10 @@
 	return d, c
 }
 
-var threeShards = routing.Ask{Services: []string{"s0", "s1", "s2"}}
+var threeShards = routing.Ask{
+	Request:  routing.Request{Method: "GET", Host: "h", Deadline: clock.Second},
+	Services: []string{"s0", "s1", "s2"}, Objective: 100, ReportIn: 20,
+}
 
 // Guards against parts that are lost between two daemons, and against asks to
 // daemons of the own data centre or of another region.
@@ -130,7 +134,20 @@
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusForbidden, post(text, "").StatusCode)
 	assert.Equal(t, http.StatusForbidden, post(text, proof([]byte("other"), text)).StatusCode)
-	for _, bad := range [][]byte{nil, {0xff}, {0xa1, 0x18, 0x63, 0x01}} {
+	bad := [][]byte{nil, {0xff}, {0xa1, 0x18, 0x63, 0x01}}
+	for _, spoil := range []func(a *gatherAsk){
+		func(a *gatherAsk) { a.Services = nil },
+		func(a *gatherAsk) { a.Left = math.NaN() },
+		func(a *gatherAsk) { a.Objective = -1 },
+		func(a *gatherAsk) { a.ReportIn = math.Inf(1) },
+	} {
+		ask := newGatherAsk(threeShards)
+		spoil(&ask)
+		spoilt, err := codec.Encode(ask)
+		require.NoError(t, err)
+		bad = append(bad, spoilt)
+	}
+	for _, bad := range bad {
 		assert.Equal(t, http.StatusBadRequest, post(bad, proof(g.config.Key, bad)).StatusCode, bad)
 	}
 	response := post(text, proof(g.config.Key, text))
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -97,10 +97,11 @@
 	log    logr.Logger
 	began  clock.Millis
 
-	engine *routing.Engine
-	roster *roster.Roster
-	hub    *peers.Hub
-	view   *view
+	engine    *routing.Engine
+	roster    *roster.Roster
+	delegates *delegates
+	hub       *peers.Hub
+	view      *view
 
 	front    net.Listener
 	control  net.Listener
@@ -120,16 +121,16 @@
 	config.Budget.Began = now
 	self := fleet.NewMember(fleet.ID(config.Peers), config.Callers, config.DataCentre, config.Region,
 		uint64(time.Now().UnixMilli()))
-	helpers := newDelegates(ports.Clock, self, config.Key, derive(ports.Random))
+	g.delegates = newDelegates(ports.Clock, self, config.Key, derive(ports.Random))
 	g.engine = routing.New(routing.Parts{
 		Clock: ports.Clock, Log: g.log.WithName("routing"), DataCentre: config.DataCentre,
 		Names: config.Callees, Random: derive(ports.Random), Budget: config.Budget, Meter: ports.Meter,
-		Routine: ports.Routine, Crashed: g.tellCrash, Delegates: helpers,
+		Routine: ports.Routine, Crashed: g.tellCrash, Delegates: g.delegates,
 	})
 	g.roster = roster.New(roster.Parts{
 		Clock: ports.Clock, Log: g.log.WithName("roster"), Self: self, Random: derive(ports.Random),
 		Changed: g.engine.SetDaemons, Sources: func(peers []string) { g.view.setSources(peers) },
-		Regions: g.engine.SetRegions, Serving: helpers.set, Record: g.hearRecord,
+		Regions: g.engine.SetRegions, Serving: g.delegates.set, Record: g.hearRecord,
 	})
 	g.hub = peers.New(peers.Control, peers.NewIdentity(config.Peers, self.Incarnation()),
 		[][]byte{config.Key}, g.roster, g.log.WithName("peers"))
@@ -200,6 +201,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	defer g.engine.Close()
+	defer g.delegates.client.CloseIdleConnections()
 	g.roster.AddSeeds(g.config.Seeds)
 	g.serve(g.control, &http.Server{Handler: g.controlHandler(), ReadHeaderTimeout: 2 * time.Second, IdleTimeout: time.Minute})
 	g.wait.Go(func() { g.roster.Run(background) })
--- a/entry/routing/trace.go
+++ b/entry/routing/trace.go
@@ -62,6 +62,9 @@
 		"request", c.request.ID, "route", c.route.Name(), "version", c.version, "outcome", outcome,
 		"status", answer.status, "ms", round(elapsed), "objective", c.route.Objective(), "deadline", round(c.request.Deadline),
 	}
+	if c.delegated {
+		values = append(values, "delegated", true)
+	}
 	if answer.reason != "" {
 		values = append(values, "reason", answer.reason)
 	}
