--- a/entry/gateway/delegates.go
+++ b/entry/gateway/delegates.go
@@ -113,13 +113,15 @@
 	return reply
 }
 
-// part returns the part, or false for shards that were not asked for.
-func (r gatherReply) part(services []string) (part routing.Part, ok bool) {
+// part returns the part, or false for shards that were not asked for or seen
+// before.
+func (r gatherReply) part(services []string, seen map[int]bool) (part routing.Part, ok bool) {
 	part = routing.Part{Seals: r.Seals, Records: r.Records, NotRun: r.NotRun, Lost: r.Lost}
 	for _, i := range r.Shards {
-		if i < 0 || i >= len(services) {
+		if i < 0 || i >= len(services) || seen[i] {
 			return routing.Part{}, false
 		}
+		seen[i] = true
 		part.Services = append(part.Services, services[i])
 	}
 	return part, true
@@ -244,15 +246,16 @@
 	}
 	defer body.Close()
 	decoder := codec.NewDecoder(io.LimitReader(body, maxGather))
+	seen := make(map[int]bool)
 	for {
 		var reply gatherReply
 		if err := decoder.Decode(&reply); err != nil {
 			return routing.Part{}, errors.Wrapf(errShare, "%v", err)
 		}
-		part, ok := reply.part(ask.Services)
+		part, ok := reply.part(ask.Services, seen)
 		switch {
 		case !ok:
-			return routing.Part{}, errors.Wrap(errShare, "shards that were not asked for")
+			return routing.Part{}, errors.Wrap(errShare, "shards that were not asked for, or twice")
 		case !reply.More:
 			// The connection is used again only after the end of the answer.
 			_, _ = io.Copy(io.Discard, body)
--- a/entry/gateway/delegates_test.go
+++ b/entry/gateway/delegates_test.go
@@ -94,6 +94,8 @@
 		"ends before the last report":  {{Shards: []int{0}, More: true}},
 		"shard that was not asked for": {{Shards: []int{3}}},
 		"shard below zero":             {{Shards: []int{-1}}},
+		"shard twice":                  {{Shards: []int{1, 1}}},
+		"shard in two reports":         {{Shards: []int{1}, More: true}, {Shards: []int{1}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d, c := gatherer(t, replies...)
--- a/entry/routing/delegation.go
+++ b/entry/routing/delegation.go
@@ -52,8 +52,8 @@
 
 // Gather gathers shards for a daemon of another data centre, from one replica of
 // this data centre each. It calls report with the parts that are there when they
-// are wanted, then with each one, and returns the others. Callers of that daemon were let in by
-// it, so the load does not matter here.
+// are wanted, then with each one, and returns the others. The other daemon has
+// let the request in, so the load does not matter here.
 func (e *Engine) Gather(ctx context.Context, ask Ask, report func(Part)) Part {
 	r, err := route.NewRoute(route.Spec{
 		Name: ask.Route, Host: ask.Request.Host, Prefix: "/", Idempotent: true,
@@ -116,8 +116,8 @@
 	}
 	e.reach.Asked()
 	ask := Ask{
-		Request: c.request, Route: c.route.Name(), Services: action.Shards(), Objective: c.route.Objective(), ReportIn: action.ReportIn(),
-		Priority: c.route.Priority(), TopK: c.route.TopK(), Regions: c.route.Regions(),
+		Request: c.request, Route: c.route.Name(), Services: action.Shards(),
+		Objective: c.route.Objective(), ReportIn: action.ReportIn(), Priority: c.route.Priority(), TopK: c.route.TopK(), Regions: c.route.Regions(),
 	}
 	ask.Request.Deadline = action.At() - now
 	go func() {
--- a/entry/routing/trace.go
+++ b/entry/routing/trace.go
@@ -45,6 +45,8 @@
 	elapsed := now - c.began
 	message, level := "", 0
 	switch {
+	case answer.gone && c.delegated:
+		return // the other daemon had enough parts
 	case answer.gone:
 		message = "caller left"
 	case answer.status >= http.StatusInternalServerError:
