dispatch: what the other daemon cannot gather is told at once; its work counts

The other daemon asked the same refusing replica again, up to four times, and told of it only at the end; the gate did not see the delegated work and let in 504s; and a shard was left to a data centre whose replica was known to refuse.

--- a/core/dispatch/action.go
+++ b/core/dispatch/action.go
@@ -117,6 +117,9 @@
 	attempt    int
 	parts      []int
 	shards     []string
+	gaveUp     []string
+	shed       []string
+	due        bool
 	missing    []string
 	retryAfter clock.Millis
 	busy       bool
@@ -136,6 +139,16 @@
 // Shards returns the shards that are in.
 func (o Outcome) Shards() []string { return o.shards }
 
+// GaveUp returns the shards of a delegated request whose replica gives no part,
+// without those of Shed.
+func (o Outcome) GaveUp() []string { return o.gaveUp }
+
+// Shed returns the shards of a delegated request that no replica has run.
+func (o Outcome) Shed() []string { return o.shed }
+
+// Due reports whether a hedge of the other shards is due.
+func (o Outcome) Due() bool { return o.due }
+
 // Missing returns the shards that are left out.
 func (o Outcome) Missing() []string { return o.missing }
 
--- a/core/dispatch/delegation.go
+++ b/core/dispatch/delegation.go
@@ -20,9 +20,20 @@
 // hedges and retries are sent from here, to other data centres. It reports the
 // parts that it has when a hedge is due, and the others one by one.
 type delegation struct {
-	number   int   // its attempt
-	shards   []int // without an end so far
-	reported bool
+	number int   // its attempt
+	shards []int // without an end so far
+	loaded []int // whose work is counted at their replicas
+	due    bool  // whether it was reported that a hedge is due
+}
+
+// Told is what the daemon that gathers reports about the shards, by service.
+type Told struct {
+	Covered []string // their parts have come, merged into one
+	GaveUp  []string // the replica that was asked gives no part
+	Shed    []string // it did not run the request
+	Due     bool     // a hedge of the others is due
+	Last    bool     // no other report follows
+	NotRun  bool     // no replica was asked
 }
 
 // delegate hands the shards that would be asked in other data centres to a
@@ -54,7 +65,7 @@
 	if len(shards) < minDelegated {
 		return
 	}
-	q.delegation = &delegation{number: len(q.attempts), shards: shards}
+	q.delegation = &delegation{number: len(q.attempts), shards: shards, loaded: slices.Clone(shards)}
 	q.attempts = append(q.attempts, attempt{shard: -1, began: now})
 	names := make([]string, len(shards))
 	for n, i := range shards {
@@ -62,6 +73,7 @@
 		names[n] = s.pool.Service()
 		s.pending++
 		s.tried = s.pool.In(chosen)
+		s.pool.AddWork(now, q.work)
 		s.hedgeAt = now + q.hedgeDelay() + 2*delegateTrip
 	}
 	q.actions = append(q.actions, Action{
@@ -70,63 +82,80 @@
 	})
 }
 
-// Delegated takes a report of the delegation: the shards whose parts have come,
-// merged into one. Last says that no other report follows, NotRun that no
-// replica was asked. The merged part is used as a whole, also where a shard was
-// answered here meanwhile.
-func (q *Request) Delegated(now clock.Millis, covered []string, last, notRun bool) []Action {
+// Delegated takes a report of the delegation. A merged part is used as a whole,
+// also where a shard was answered here meanwhile.
+func (q *Request) Delegated(now clock.Millis, told Told) []Action {
 	d := q.delegation
 	a := &q.attempts[d.number]
 	if a.ended {
 		return nil
 	}
-	a.ended = last
+	a.ended = told.Last
+	q.unload(now, told)
 	if a.dropped || q.finished {
 		return nil
 	}
-	if !notRun {
-		q.mayRun = true
-	}
-	left := d.shards[:0]
+	asked := told.Last && !told.NotRun
+	var left, failed []int
 	for _, i := range d.shards {
 		s := &q.shards[i]
-		if !slices.Contains(covered, s.pool.Service()) {
+		service := s.pool.Service()
+		shed := slices.Contains(told.Shed, service)
+		switch {
+		case slices.Contains(told.Covered, service):
+			q.mayRun = true
+			s.pending--
+			if s.winner >= 0 {
+				s.winner = d.number
+			} else {
+				q.cover(i, d.number)
+			}
+		case shed, asked, slices.Contains(told.GaveUp, service):
+			if shed {
+				s.shed++
+			} else {
+				q.mayRun = true
+			}
+			s.arrived++
+			failed = append(failed, i)
+		case told.NotRun:
+			failed = append(failed, i)
+		default:
 			left = append(left, i)
-			continue
-		}
-		s.pending--
-		if s.winner >= 0 {
-			s.winner = d.number
-		} else {
-			q.cover(i, d.number)
 		}
 	}
 	d.shards = left
-	if !d.reported {
-		d.reported = true
+	if told.Due && !d.due {
+		d.due = true
 		for _, i := range left {
-			q.shards[i].hedgeAt = now // a hedge is due there
+			q.shards[i].hedgeAt = now
 		}
 	}
-	if last {
-		for _, i := range left {
-			q.undelegated(now, i, notRun)
-		}
+	for _, i := range failed {
+		q.undelegated(now, i, told.NotRun)
 	}
 	return q.settle(now)
 }
 
-// undelegated decides about a shard whose part did not come.
+// unload takes back the work of the shards that have ended.
+func (q *Request) unload(now clock.Millis, told Told) {
+	d := q.delegation
+	d.loaded = slices.DeleteFunc(d.loaded, func(i int) bool {
+		pool := q.shards[i].pool
+		ended := told.Last || slices.Contains(told.Covered, pool.Service()) ||
+			slices.Contains(told.GaveUp, pool.Service()) || slices.Contains(told.Shed, pool.Service())
+		if ended {
+			pool.AddWork(now, -q.work)
+		}
+		return ended
+	})
+}
+
+// undelegated decides about a shard whose part does not come.
 func (q *Request) undelegated(now clock.Millis, i int, notRun bool) {
 	s := &q.shards[i]
 	s.pending--
-	if !s.open() {
-		return
-	}
-	if !notRun {
-		s.arrived++
-	}
-	if s.pending > 0 {
+	if !s.open() || s.pending > 0 {
 		return
 	}
 	if notRun {
@@ -135,15 +164,21 @@
 	q.again(now, i)
 }
 
-// report tells the daemon that has delegated this request the parts that are
-// new. It begins when that daemon would hedge, even if there are none, so that it
-// hedges only the others.
-func (q *Request) report() {
+// report tells the daemon that has delegated this request what is new: at once
+// which shards it must ask itself, and the parts from when it would hedge.
+func (q *Request) report(now clock.Millis) {
+	due := now >= q.reportAt
+	if !due && !q.gaveUp {
+		return
+	}
 	outcome := q.gathered("")
-	if len(outcome.shards) > 0 || !q.reported {
-		q.reported = true
+	outcome.due = due
+	news := len(outcome.shards)+len(outcome.gaveUp)+len(outcome.shed) > 0
+	if news || (due && !q.reported) {
+		q.reported = q.reported || due
 		q.actions = append(q.actions, Action{kind: Report, outcome: outcome})
 	}
+	q.gaveUp = false
 }
 
 // gathered returns the parts that were not reported yet.
@@ -151,17 +186,24 @@
 	outcome := Outcome{kind: Gathered, reason: reason}
 	for i := range q.shards {
 		s := &q.shards[i]
+		service := s.pool.Service()
 		switch {
 		case s.reported:
-		case s.winner < 0:
-			outcome.missing = append(outcome.missing, s.pool.Service())
-		default:
-			s.reported = true
-			outcome.shards = append(outcome.shards, s.pool.Service())
+			continue
+		case s.winner >= 0:
+			outcome.shards = append(outcome.shards, service)
 			if !slices.Contains(outcome.parts, s.winner) { // a delegation covers several shards
 				outcome.parts = append(outcome.parts, s.winner)
 			}
+		case q.delegated && s.lost && s.arrived == s.shed:
+			outcome.shed = append(outcome.shed, service)
+		case q.delegated && s.lost:
+			outcome.gaveUp = append(outcome.gaveUp, service)
+		default:
+			outcome.missing = append(outcome.missing, service)
+			continue
 		}
+		s.reported = true
 	}
 	return outcome
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -77,7 +77,8 @@
 	delegates  []string
 	delegated  bool
 	reportAt   clock.Millis
-	reported   bool        // the first report was made
+	reported   bool        // that a hedge is due
+	gaveUp     bool        // a shard, which is not reported yet
 	delegation *delegation // nil without one
 	began      clock.Millis
 	cut        clock.Millis // from here on an answer need not be complete
@@ -121,6 +122,7 @@
 	if res.Delegated {
 		q.delegated = true
 		q.reportAt, q.cut = now+res.ReportIn, q.final
+		q.work = 0 // counted by the other daemon
 	}
 	services := r.Shards()
 	if services == nil {
@@ -280,8 +282,8 @@
 	case now >= q.final:
 		return q.timeOut(now)
 	}
-	if now >= q.reportAt {
-		q.report()
+	if q.delegated {
+		q.report(now)
 	}
 	for i := range q.shards {
 		s := &q.shards[i]
--- a/core/dispatch/shard.go
+++ b/core/dispatch/shard.go
@@ -40,7 +40,7 @@
 	s := &q.shards[i]
 	r, err := q.pick(now, s)
 	if err != nil {
-		s.retryAt = now + recheck
+		q.comeBack(now, i)
 		return
 	}
 	q.send(now, i, r, First)
@@ -101,7 +101,7 @@
 // again sends a retry now, plans one for later, or gives the shard up.
 func (q *Request) again(now clock.Millis, i int) {
 	s := &q.shards[i]
-	if s.arrived >= q.route.Attempts() && s.shed == s.arrived && s.arrived < maxSheds && !q.crowded(now, s) {
+	if !q.delegated && s.arrived >= q.route.Attempts() && s.shed == s.arrived && s.arrived < maxSheds && !q.crowded(now, s) {
 		// The replicas that were asked did not run it. No others may be asked,
 		// but these may be asked again.
 		s.askAgain()
@@ -121,7 +121,7 @@
 			q.lose(i)
 			return
 		}
-		s.retryAt = now + recheck
+		q.comeBack(now, i)
 		return
 	}
 	if s.arrived > 0 && !s.pool.Budget().Take(now, q.reserve(now)) {
@@ -161,8 +161,19 @@
 	return 0
 }
 
+// comeBack plans to look for a replica again. The daemon that has delegated the
+// request looks elsewhere at once.
+func (q *Request) comeBack(now clock.Millis, i int) {
+	if q.delegated {
+		q.lose(i)
+		return
+	}
+	q.shards[i].retryAt = now + recheck
+}
+
 func (q *Request) lose(i int) {
 	if q.shards[i].open() {
+		q.gaveUp = true
 		q.shards[i].lost = true
 		q.open--
 	}
--- a/core/replica/pool.go
+++ b/core/replica/pool.go
@@ -298,8 +298,8 @@
 // that of another daemon.
 const usualSpan = 150 * clock.Millisecond
 
-// addWork counts work at the replicas, or its end if it is negative.
-func (p *Pool) addWork(now, work clock.Millis) {
+// AddWork counts work at the replicas, or its end if it is negative.
+func (p *Pool) AddWork(now, work clock.Millis) {
 	p.settleWork(now)
 	p.work = max(0, p.work+work)
 }
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -192,7 +192,7 @@
 // instant identifies it for End.
 func (r *Replica) Begin(now, work clock.Millis) {
 	r.pending = append(r.pending, exchange{began: now, work: work})
-	r.pool.addWork(now, work)
+	r.pool.AddWork(now, work)
 	if r.Cold(now) && r.pool.warmupRate > 0 {
 		r.coldNext = now + r.pool.coldInterval()
 	}
@@ -202,7 +202,7 @@
 // is the usual latency of such a request.
 func (r *Replica) End(now, began clock.Millis, result Result, expected clock.Millis) {
 	if i := slices.IndexFunc(r.pending, func(x exchange) bool { return x.began == began }); i >= 0 {
-		r.pool.addWork(now, -r.pending[i].work)
+		r.pool.AddWork(now, -r.pending[i].work)
 		r.pending = slices.Delete(r.pending, i, i+1)
 	}
 	switch result {
--- a/entry/gateway/delegates.go
+++ b/entry/gateway/delegates.go
@@ -58,6 +58,9 @@
 	NotRun  bool     `cbor:"4,keyasint,omitempty"`
 	More    bool     `cbor:"5,keyasint,omitempty"` // another report follows
 	Lost    string   `cbor:"6,keyasint,omitempty"`
+	GaveUp  []int    `cbor:"7,keyasint,omitempty"` // positions in the ask, as the next one
+	Shed    []int    `cbor:"8,keyasint,omitempty"`
+	Due     bool     `cbor:"9,keyasint,omitempty"`
 }
 
 func newGatherAsk(ask routing.Ask) gatherAsk {
@@ -100,31 +103,44 @@
 }
 
 func newGatherReply(services []string, part routing.Part, more bool) gatherReply {
-	reply := gatherReply{Seals: part.Seals, Records: part.Records, NotRun: part.NotRun, Lost: part.Lost, More: more}
-	in := make(map[string]bool, len(part.Services))
-	for _, service := range part.Services {
-		in[service] = true
-	}
+	position := make(map[string]int, len(services))
 	for i, service := range services {
-		if in[service] {
-			reply.Shards = append(reply.Shards, i)
+		position[service] = i
+	}
+	positions := func(names []string) []int {
+		var found []int
+		for _, name := range names {
+			found = append(found, position[name])
 		}
+		return found
+	}
+	return gatherReply{
+		Shards: positions(part.Services), Seals: part.Seals, Records: part.Records, NotRun: part.NotRun, More: more,
+		Lost: part.Lost, GaveUp: positions(part.GaveUp), Shed: positions(part.Shed), Due: part.Due,
 	}
-	return reply
 }
 
 // part returns the part, or false for shards that were not asked for or seen
 // before.
 func (r gatherReply) part(services []string, seen map[int]bool) (part routing.Part, ok bool) {
-	part = routing.Part{Seals: r.Seals, Records: r.Records, NotRun: r.NotRun, Lost: r.Lost}
-	for _, i := range r.Shards {
-		if i < 0 || i >= len(services) || seen[i] {
-			return routing.Part{}, false
+	ok = true
+	names := func(positions []int) []string {
+		var found []string
+		for _, i := range positions {
+			if i < 0 || i >= len(services) || seen[i] {
+				ok = false
+				return nil
+			}
+			seen[i] = true
+			found = append(found, services[i])
 		}
-		seen[i] = true
-		part.Services = append(part.Services, services[i])
+		return found
+	}
+	part = routing.Part{
+		Services: names(r.Shards), Seals: r.Seals, Records: r.Records, NotRun: r.NotRun, Lost: r.Lost,
+		GaveUp: names(r.GaveUp), Shed: names(r.Shed), Due: r.Due,
 	}
-	return part, true
+	return part, ok
 }
 
 // delegates are the serving daemons of other data centres of the region. It
--- a/entry/routing/call.go
+++ b/entry/routing/call.go
@@ -189,7 +189,7 @@
 		}
 	}
 	answer := merge(c.route, parts, outcome.Missing())
-	answer.shards, answer.lost = outcome.Shards(), c.lost()
+	answer.outcome, answer.lost = outcome, c.lost()
 	return answer
 }
 
--- a/entry/routing/delegation.go
+++ b/entry/routing/delegation.go
@@ -29,6 +29,9 @@
 // the proofs of the replicas that made them.
 type Part struct {
 	Services []string // the shards that are in
+	GaveUp   []string // shards that it does not give
+	Shed     []string // shards that it does not give and that no replica has run
+	Due      bool     // a hedge of the other shards is due
 	Seals    []string
 	Records  []byte
 	Lost     string // a replica whose connection was lost, or ""
@@ -65,7 +68,7 @@
 	}
 	answer := e.do(ctx, &call{
 		engine: e, request: ask.Request, route: r, delegated: true, reportIn: ask.ReportIn,
-		done: make(chan Answer, 1), early: make(chan Answer, len(ask.Services)+1), report: report,
+		done: make(chan Answer, 1), early: make(chan Answer, 2*len(ask.Services)+1), report: report,
 	})
 	switch answer.status {
 	case http.StatusOK:
@@ -98,7 +101,10 @@
 }
 
 func (a Answer) part() Part {
-	return Part{Services: a.shards, Seals: a.seals, Records: a.body, Lost: a.lost}
+	return Part{
+		Services: a.outcome.Shards(), Seals: a.seals, Records: a.body, Lost: a.lost,
+		GaveUp: a.outcome.GaveUp(), Shed: a.outcome.Shed(), Due: a.outcome.Due(),
+	}
 }
 
 // delegate hands shards to a daemon of another data centre.
@@ -151,7 +157,9 @@
 		}
 		c.traceEnd(now, action.Attempt(), result)
 	}
-	c.perform(now, c.state.Delegated(now, part.Services, last, part.NotRun))
+	c.perform(now, c.state.Delegated(now, dispatch.Told{
+		Covered: part.Services, GaveUp: part.GaveUp, Shed: part.Shed, Due: part.Due, Last: last, NotRun: part.NotRun,
+	}))
 }
 
 // abandoner gives a delegation up.
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -106,8 +106,8 @@
 	reply      *exchange.Reply
 	body       []byte
 	seals      []string
-	shards     []string // that are in
-	lost       string   // replica whose connection was lost, told to the daemon that delegated
+	outcome    dispatch.Outcome // of an answer over many shards
+	lost       string           // replica whose connection was lost, told to the daemon that delegated
 	missing    []string
 	retryAfter clock.Millis
 	reason     string
