--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -97,11 +97,12 @@
 	log    logr.Logger
 	began  clock.Millis
 
-	engine    *routing.Engine
-	roster    *roster.Roster
-	delegates *delegates
-	hub       *peers.Hub
-	view      *view
+	engine     *routing.Engine
+	roster     *roster.Roster
+	delegates  *delegates
+	hub        *peers.Hub
+	view       *view
+	compressor compressor
 
 	front    net.Listener
 	control  net.Listener
--- a/entry/gateway/share.go
+++ b/entry/gateway/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
 	"crypto/hmac"
 	"crypto/sha256"
@@ -9,6 +10,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,7 +30,10 @@
 	shareTimeout = time.Second
 	shareDial    = 400 * time.Millisecond
 	maxAsk       = 64 << 10
-	maxShare     = 64 << 20
+	// compressedSize is the size from which a reply is compressed: the first copy
+	// of the store for each daemon that starts.
+	compressedSize = 4 << 10
+	maxShare       = 64 << 20
 )
 
 var errShare = errors.New("peer did not answer")
@@ -107,11 +113,37 @@
 		if err != nil {
 			return err
 		}
+		if len(body) >= compressedSize && strings.Contains(c.Request().Header.Get(echo.HeaderAcceptEncoding), "gzip") {
+			c.Response().Header().Set(echo.HeaderContentEncoding, "gzip")
+			body = g.compressor.compress(body)
+		}
 		return c.Blob(http.StatusOK, mimeCBOR, body)
 	})
 	return e
 }
 
+// compressor compresses one text at a time: a writer takes a megabyte, and all
+// followers may ask for a first copy at once. The zero value is ready for use.
+type compressor struct {
+	mu     sync.Mutex
+	writer *gzip.Writer
+}
+
+func (z *compressor) compress(text []byte) []byte {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	var out bytes.Buffer
+	if z.writer == nil {
+		z.writer, _ = gzip.NewWriterLevel(&out, gzip.BestSpeed) // the level is valid
+	} else {
+		z.writer.Reset(&out)
+	}
+	// A buffer takes everything.
+	_, _ = z.writer.Write(text)
+	_ = z.writer.Close()
+	return out.Bytes()
+}
+
 const mimeCBOR = "application/cbor"
 
 // readAsk reads what another daemon asks. The status goes with an error.
--- a/entry/peers/hub.go
+++ b/entry/peers/hub.go
@@ -19,6 +19,13 @@
 	retireTime = 2 * time.Second
 )
 
+// Batches of member rows and records repeat the same names many times. Pings stay
+// below the size and cost nothing.
+const (
+	compression    = websocket.CompressionNoContextTakeover
+	compressedSize = 2048
+)
+
 // Hub holds the links of one subsystem, at most one for each peer. It is an
 // http.Handler that accepts links, and is safe for concurrent use.
 type Hub struct {
@@ -75,7 +82,7 @@
 
 // ServeHTTP accepts a link.
 func (h *Hub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	socket, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	socket, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: compression, CompressionThreshold: compressedSize})
 	if err != nil {
 		return
 	}
@@ -159,7 +166,7 @@
 func (h *Hub) connect(peer string) (*link, error) {
 	ctx, cancel := context.WithTimeout(h.ctx, dialTimeout)
 	defer cancel()
-	options := &websocket.DialOptions{CompressionMode: websocket.CompressionDisabled}
+	options := &websocket.DialOptions{CompressionMode: compression, CompressionThreshold: compressedSize}
 	socket, _, err := websocket.Dial(ctx, "ws://"+peer+string(h.path), options)
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial %s", peer)
--- a/entry/peers/peers_test.go
+++ b/entry/peers/peers_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
+	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -93,6 +98,53 @@
 	require.Equal(t, event{"message", b.address, "ack"}, a.events.next(t))
 }
 
+// counted is a listener that counts the bytes that its connections read.
+type counted struct {
+	net.Listener
+	read *atomic.Int64
+}
+
+func (l counted) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countedConn{Conn: c, read: l.read}, err
+}
+
+type countedConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// Guards against floods that fill the links between data centres (pattern: all
+// daemons start at once, and the rows of each reach each other one over several
+// links): rows repeat the same names.
+func TestFloodsAreCompressed(t *testing.T) {
+	var read atomic.Int64
+	a, b := start(t, "", "key"), recorder(make(chan event, 64))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	hub := newHub(t, listener.Addr().String(), 1, b, "key")
+	server := &http.Server{Handler: hub}
+	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(counted{Listener: listener, read: &read}) }()
+	a.hub.Dial(listener.Addr().String())
+	require.Equal(t, "up", a.events.next(t).kind)
+	require.Equal(t, "up", b.next(t).kind)
+	var rows strings.Builder
+	for i := range 300 {
+		fmt.Fprintf(&rows, "10.128.%d.%d:8224 10.128.%d.%d:8080 sk-west-ba sk-west alive %d;", i/250, i%250, i/250, i%250, 1764860000000+i*37)
+	}
+	before := read.Load()
+	require.NoError(t, a.hub.Send(listener.Addr().String(), []byte(rows.String())))
+	require.Equal(t, rows.String(), b.next(t).body)
+	require.Less(t, 3*(read.Load()-before), int64(rows.Len()))
+}
+
 // Guards against links to daemons that do not share a key, or that answer
 // under another name than the one dialled.
 func TestHandshake(t *testing.T) {
