--- a/core/dispatch/delegation.go
+++ b/core/dispatch/delegation.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/replica"
 )
 
 const (
@@ -20,10 +21,11 @@
 // hedges and retries are sent from here, to other data centres. It reports the
 // parts that it has when a hedge is due, and the others one by one.
 type delegation struct {
-	number int   // its attempt
-	shards []int // without an end so far
-	loaded []int // whose work is counted at their replicas
-	due    bool  // whether it was reported that a hedge is due
+	dataCentre string
+	number     int   // its attempt
+	shards     []int // without an end so far
+	loaded     []int // whose work is counted at their replicas
+	due        bool  // whether it was reported that a hedge is due
 }
 
 // Told is what the daemon that gathers reports about the shards, by service.
@@ -65,7 +67,7 @@
 	if len(shards) < minDelegated {
 		return
 	}
-	q.delegation = &delegation{number: len(q.attempts), shards: shards, loaded: slices.Clone(shards)}
+	q.delegation = &delegation{dataCentre: chosen, number: len(q.attempts), shards: shards, loaded: slices.Clone(shards)}
 	q.attempts = append(q.attempts, attempt{shard: -1, began: now})
 	names := make([]string, len(shards))
 	for n, i := range shards {
@@ -104,6 +106,7 @@
 		switch {
 		case slices.Contains(told.Covered, service):
 			q.mayRun = true
+			q.heard(now, s, replica.OK)
 			s.pending--
 			if s.winner >= 0 {
 				s.winner = d.number
@@ -113,8 +116,10 @@
 		case shed, asked, slices.Contains(told.GaveUp, service):
 			if shed {
 				s.shed++
+				q.heard(now, s, replica.Shed)
 			} else {
 				q.mayRun = true
+				q.heard(now, s, replica.Failed)
 			}
 			s.arrived++
 			failed = append(failed, i)
@@ -137,6 +142,14 @@
 	return q.settle(now)
 }
 
+// heard takes what the other daemon found out about a replica, if it is known
+// which one it asked.
+func (q *Request) heard(now clock.Millis, s *shard, result replica.Result) {
+	if asked := s.pool.In(q.delegation.dataCentre); len(asked) == 1 {
+		asked[0].Told(now, result)
+	}
+}
+
 // unload takes back the work of the shards that have ended.
 func (q *Request) unload(now clock.Millis, told Told) {
 	d := q.delegation
--- a/core/dispatch/delegation_test.go
+++ b/core/dispatch/delegation_test.go
@@ -143,6 +143,25 @@
 	assert.False(t, g.request.mayRun, "nothing has run so far")
 }
 
+// Guards against shards that are delegated again and again to a data centre
+// whose replica refuses them (pattern: as above), where others could be asked.
+func TestUnsoundReplicaIsNotLeftToTheOtherDaemon(t *testing.T) {
+	f := newElsewhere(t, 4, "b", "c")
+	r := f.request.route
+	var asked [][]string
+	for i := range 4 {
+		now := clock.Millis(10 * i)
+		f.asks = nil
+		f.request = New(now, r, now+600, Resources{Set: f.set, Profile: &f.profile, Gate: &f.gate, Delegates: []string{"b"}})
+		f.take(f.request.Start(now))
+		require.Len(t, f.asks, 1)
+		asked = append(asked, f.asks[0].Shards())
+		f.take(f.request.Delegated(now+2, Told{Shed: []string{"s0"}, Covered: []string{"s1", "s2", "s3"}, Last: true}))
+	}
+	assert.Equal(t, []string{"s0", "s1", "s2", "s3"}, asked[0])
+	assert.Equal(t, []string{"s1", "s2", "s3"}, asked[3])
+}
+
 // Guards against a gate that does not see the work which other daemons gather
 // (pattern: requests are let in that cannot be served, as many replicas refuse).
 func TestDelegatedWorkCounts(t *testing.T) {
--- a/core/replica/pick.go
+++ b/core/replica/pick.go
@@ -17,7 +17,10 @@
 	failFactor  = 8.0
 	shedFactor  = 3.0
 	coldFactor  = 0.6
-	spread      = 0.08 // random part of a score, so that daemons differ
+	// soundSlowness and soundFailures bound what is said of a sound replica.
+	soundSlowness = 2.0
+	soundFailures = 0.15
+	spread        = 0.08 // random part of a score, so that daemons differ
 	// drainGrace is how long a draining replica may still be asked if there is
 	// no other one. It is well below the time for which it goes on serving.
 	drainGrace = clock.Second
@@ -152,8 +155,8 @@
 func (r *Replica) Near() bool { return r.distance == sameDataCentre }
 
 // Around counts the replicas that may be asked for a request that must stay in
-// the given regions: those of a data centre of the daemon's own region, and the
-// others.
+// the given regions: the sound ones of a data centre of the daemon's own region,
+// and those elsewhere.
 func (p *Pool) Around(now clock.Millis, dataCentre string, regions []string) (inside, outside int) {
 	ask := Ask{regions: regions}
 	for _, r := range p.replicas {
@@ -161,13 +164,36 @@
 		case !r.usable(now) || !ask.allows(r):
 		case r.entry.DataCentre() != dataCentre:
 			outside++
-		case r.distance == sameRegion:
+		case r.distance == sameRegion && r.sound(now):
 			inside++
 		}
 	}
 	return inside, outside
 }
 
+// HasNear reports whether a replica of the daemon's own data centre may be asked.
+func (p *Pool) HasNear(now clock.Millis) bool {
+	return slices.ContainsFunc(p.replicas, func(r *Replica) bool { return r.Near() && r.usable(now) })
+}
+
+// sound reports whether a replica can be asked without a choice of others.
+func (r *Replica) sound(now clock.Millis) bool {
+	return now >= r.fullUntil && r.slowness(now) < soundSlowness && r.failures(now) < soundFailures
+}
+
+// Told takes how an exchange of another daemon with the replica has ended: OK,
+// Failed or Shed.
+func (r *Replica) Told(now clock.Millis, result Result) {
+	switch result {
+	case OK:
+		r.fail(now, 0)
+	case Shed:
+		r.fail(now, shedStep)
+	default:
+		r.fail(now, failureStep)
+	}
+}
+
 // In returns the replicas of a data centre.
 func (p *Pool) In(dataCentre string) []*Replica {
 	var found []*Replica
