--- a/core/dispatch/delegation.go
+++ b/core/dispatch/delegation.go
@@ -38,15 +38,16 @@
 	NotRun  bool     // no replica was asked
 }
 
-// delegate hands the shards that would be asked in other data centres to a
-// daemon of the one that has most of them.
+// delegate hands the shards without a replica in this data centre to a daemon of
+// the one that has most of them. Where there is one, but another is better at
+// the moment, the choice is left to this daemon.
 func (q *Request) delegate(now clock.Millis) {
 	if len(q.delegates) == 0 || q.route.Shards() == nil || !q.route.Idempotent() {
 		return
 	}
 	var elsewhere []int
 	for i := range q.shards {
-		if r, err := q.pick(now, &q.shards[i]); err == nil && !r.Near() {
+		if r, err := q.pick(now, &q.shards[i]); err == nil && !r.Near() && !q.shards[i].pool.HasNear(now) {
 			elsewhere = append(elsewhere, i)
 		}
 	}
--- a/core/dispatch/delegation_test.go
+++ b/core/dispatch/delegation_test.go
@@ -216,7 +216,19 @@
 		"few shards":             newElsewhere(t, minDelegated-1, "b", "c"),
 		"replicas near":          newElsewhere(t, 4, "a", "b", "c"),
 		"no replica for a hedge": newElsewhere(t, 4, "b"),
-		"no daemon there":        newElsewhere(t, 4, "c", "d"),
+		"near ones that are slow": func() *elsewhere {
+			f := newElsewhere(t, 4, "a", "b", "c")
+			for i := range f.request.shards {
+				near := f.request.shards[i].pool.In("a")[0]
+				for round := range 5 {
+					began := clock.Millis(300*round - 2000)
+					near.Begin(began, 10)
+					near.End(began+500, began, replica.OK, 10)
+				}
+			}
+			return f
+		}(),
+		"no daemon there": newElsewhere(t, 4, "c", "d"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			f.start()
