--- a/core/dispatch/delegation.go
+++ b/core/dispatch/delegation.go
@@ -18,8 +18,9 @@
 // delegation is the shards that a daemon of another data centre gathers for this
 // request, so that one answer crosses between the data centres instead of one
 // for each shard. That daemon asks one replica of its own data centre for each;
-// hedges and retries are sent from here, to other data centres. It reports the
-// parts that it has when a hedge is due, and the others one by one.
+// hedges and retries are sent from here, to other data centres. It reports at
+// once what it gives up, the parts that it has when a hedge is due, and the
+// others one by one.
 type delegation struct {
 	dataCentre string
 	number     int   // its attempt
@@ -103,7 +104,7 @@
 	for _, i := range d.shards {
 		s := &q.shards[i]
 		service := s.pool.Service()
-		shed := slices.Contains(told.Shed, service)
+		shed, gaveUp := slices.Contains(told.Shed, service), slices.Contains(told.GaveUp, service)
 		switch {
 		case slices.Contains(told.Covered, service):
 			q.mayRun = true
@@ -114,14 +115,16 @@
 			} else {
 				q.cover(i, d.number)
 			}
-		case shed, asked, slices.Contains(told.GaveUp, service):
-			if shed {
-				s.shed++
-				q.heard(now, s, replica.Shed)
-			} else {
-				q.mayRun = true
+		case shed:
+			q.heard(now, s, replica.Shed)
+			s.shed++
+			s.arrived++
+			failed = append(failed, i)
+		case gaveUp, asked:
+			if gaveUp {
 				q.heard(now, s, replica.Failed)
 			}
+			q.mayRun = true
 			s.arrived++
 			failed = append(failed, i)
 		case told.NotRun:
--- a/core/dispatch/delegation_test.go
+++ b/core/dispatch/delegation_test.go
@@ -162,6 +162,19 @@
 	assert.Equal(t, []string{"s1", "s2", "s3"}, asked[3])
 }
 
+// Guards against replicas that are blamed for the daemon that asked them: after
+// it is lost, its shards go on to be delegated to the others there.
+func TestLostDaemonIsNoEvidenceAboutReplicas(t *testing.T) {
+	f := newElsewhere(t, 4, "b", "c")
+	f.start()
+	f.told(5, true)
+	f.asks = nil
+	f.request = New(10, f.request.route, 610, Resources{Set: f.set, Profile: &f.profile, Gate: &f.gate, Delegates: []string{"b"}})
+	f.take(f.request.Start(10))
+	require.Len(t, f.asks, 1)
+	assert.Len(t, f.asks[0].Shards(), 4)
+}
+
 // Guards against a gate that does not see the work which other daemons gather
 // (pattern: requests are let in that cannot be served, as many replicas refuse).
 func TestDelegatedWorkCounts(t *testing.T) {
