--- a/entry/gateway/share_test.go
+++ b/entry/gateway/share_test.go
@@ -23,8 +23,8 @@
 	g := newTestGateway(t)
 	var items []mirror.Item
 	for i := range 300 {
-		value := fmt.Sprintf(`{"backend":"huvo11a","addr":"10.128.%d.%d:8080","zone":"sk-west-ba","version":"v1","slots":2,"state":"ready","warmupLeftMs":0,"seq":%d}`, i/250, i%250, i)
-		items = append(items, mirror.NewItem(fmt.Sprintf("servers/i-%08x", i*7919), []byte(value), uint64(i+1)))
+		value := fmt.Sprintf(`{"service":"search","address":"10.128.%d.%d:8080","dataCentre":"ikeja","release":"v1","slots":2,"state":"serving","coldFor":0,"beat":%d}`, i/250, i%250, i)
+		items = append(items, mirror.NewItem(fmt.Sprintf("replicas/i-%08x", i*7919), []byte(value), uint64(i+1)))
 	}
 	g.view.mu.Lock()
 	g.view.learn(g.view.reader.Page(g.view.now(), items, 300, false))
--- a/entry/peers/peers_test.go
+++ b/entry/peers/peers_test.go
@@ -137,7 +137,7 @@
 	require.Equal(t, "up", b.next(t).kind)
 	var rows strings.Builder
 	for i := range 300 {
-		fmt.Fprintf(&rows, "10.128.%d.%d:8224 10.128.%d.%d:8080 sk-west-ba sk-west alive %d;", i/250, i%250, i/250, i%250, 1764860000000+i*37)
+		fmt.Fprintf(&rows, "10.128.%d.%d:8224 10.128.%d.%d:8080 ikeja ng-southwest alive %d;", i/250, i%250, i/250, i%250, 1764860000000+i*37)
 	}
 	before := read.Load()
 	require.NoError(t, a.hub.Send(listener.Addr().String(), []byte(rows.String())))
