dispatch, gateway: read-through of the change

The shards of a delegation are sorted out once: those whose work counts were kept a second time and classified again. A shard with a replica near is not picked for a third time at the start of a request. Daemons that were avoided are forgotten.

--- a/core/dispatch/delegation.go
+++ b/core/dispatch/delegation.go
@@ -24,8 +24,7 @@
 type delegation struct {
 	dataCentre string
 	number     int   // its attempt
-	shards     []int // without an end so far
-	loaded     []int // whose work is counted at their replicas
+	shards     []int // without an end so far; their work counts
 	due        bool  // whether it was reported that a hedge is due
 }
 
@@ -48,7 +47,10 @@
 	}
 	var elsewhere []int
 	for i := range q.shards {
-		if r, err := q.pick(now, &q.shards[i]); err == nil && !r.Near() && !q.shards[i].pool.HasNear(now) {
+		if q.shards[i].pool.HasNear(now) {
+			continue
+		}
+		if r, err := q.pick(now, &q.shards[i]); err == nil && !r.Near() {
 			elsewhere = append(elsewhere, i)
 		}
 	}
@@ -69,7 +71,7 @@
 	if len(shards) < minDelegated {
 		return
 	}
-	q.delegation = &delegation{dataCentre: chosen, number: len(q.attempts), shards: shards, loaded: slices.Clone(shards)}
+	q.delegation = &delegation{dataCentre: chosen, number: len(q.attempts), shards: shards}
 	q.attempts = append(q.attempts, attempt{shard: -1, began: now})
 	names := make([]string, len(shards))
 	for n, i := range shards {
@@ -95,18 +97,21 @@
 		return nil
 	}
 	a.ended = told.Last
-	q.unload(now, told)
-	if a.dropped || q.finished {
-		return nil
-	}
-	asked := told.Last && !told.NotRun
+	over := a.dropped || q.finished
 	var left, failed []int
 	for _, i := range d.shards {
 		s := &q.shards[i]
 		service := s.pool.Service()
-		shed, gaveUp := slices.Contains(told.Shed, service), slices.Contains(told.GaveUp, service)
+		covered, shed := slices.Contains(told.Covered, service), slices.Contains(told.Shed, service)
+		gaveUp := slices.Contains(told.GaveUp, service)
+		if !covered && !shed && !gaveUp && !told.Last {
+			left = append(left, i)
+			continue
+		}
+		s.pool.AddWork(now, -q.work)
 		switch {
-		case slices.Contains(told.Covered, service):
+		case over:
+		case covered:
 			q.mayRun = true
 			q.heard(now, s, replica.OK)
 			s.pending--
@@ -120,20 +125,21 @@
 			s.shed++
 			s.arrived++
 			failed = append(failed, i)
-		case gaveUp, asked:
+		case gaveUp, !told.NotRun:
 			if gaveUp {
 				q.heard(now, s, replica.Failed)
 			}
 			q.mayRun = true
 			s.arrived++
 			failed = append(failed, i)
-		case told.NotRun:
-			failed = append(failed, i)
 		default:
-			left = append(left, i)
+			failed = append(failed, i)
 		}
 	}
 	d.shards = left
+	if over {
+		return nil
+	}
 	if told.Due && !d.due {
 		d.due = true
 		for _, i := range left {
@@ -154,20 +160,6 @@
 	}
 }
 
-// unload takes back the work of the shards that have ended.
-func (q *Request) unload(now clock.Millis, told Told) {
-	d := q.delegation
-	d.loaded = slices.DeleteFunc(d.loaded, func(i int) bool {
-		pool := q.shards[i].pool
-		ended := told.Last || slices.Contains(told.Covered, pool.Service()) ||
-			slices.Contains(told.GaveUp, pool.Service()) || slices.Contains(told.Shed, pool.Service())
-		if ended {
-			pool.AddWork(now, -q.work)
-		}
-		return ended
-	})
-}
-
 // undelegated decides about a shard whose part does not come.
 func (q *Request) undelegated(now clock.Millis, i int, notRun bool) {
 	s := &q.shards[i]
--- a/entry/gateway/delegates.go
+++ b/entry/gateway/delegates.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -237,7 +238,9 @@
 func (d *delegates) avoid(peer string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.avoided[peer] = d.clock.Now() + avoidTime
+	now := d.clock.Now()
+	maps.DeleteFunc(d.avoided, func(_ string, until clock.Millis) bool { return now >= until })
+	d.avoided[peer] = now + avoidTime
 }
 
 // Gather asks a daemon of the data centre. One that does not answer in time, or
