core/dispatch: a shed shard stays at the replicas that shed it

Cause: after a route's maximum of attempts was shed, the shard was allowed at all replicas in tried, among them some that were never reached, so it went to 3 where the route allows 2. If tried had been cleared because no replica could be reached, reading its last element ended the process.

Change: the shard records the replicas that shed it and is restricted to them by Criteria.Among, which replaces Pool.Except. The limit is raised only when it is reached, so that a retry that found no replica does not exclude the last one again.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -249,7 +249,7 @@
 		s.reached++
 	}
 	if result == replica.Shed {
-		s.shed++
+		s.recordShed(a.replica)
 	}
 	switch {
 	case result == replica.OK:
--- a/core/dispatch/request_test.go
+++ b/core/dispatch/request_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"flag"
 	"math/rand/v2"
 	"testing"
 
@@ -276,6 +277,75 @@
 	assert.Equal(t, 1, f.outcome.Attempt())
 }
 
+// endShard ends the only pending attempt for the shard.
+func (f *requestFixture) endShard(now clock.Millis, shard int, result replica.Result) {
+	last := -1
+	for _, send := range f.sent {
+		if send.Shard() == shard && !f.request.attempts[send.Attempt()].ended {
+			last = send.Attempt()
+		}
+	}
+	require.GreaterOrEqual(f.t, last, 0, "no attempt of the shard is pending")
+	f.end(now, last, result)
+}
+
+// Guards against a panic in the retry of a shard that was shed as often as the route
+// allows, when no replica that shed it is left.
+func TestShedShardWithoutReplicaLeftFails(t *testing.T) {
+	f := newRequestFixture(t, shardedRoute("s0", "s1", "s2"))
+	now := clock.Millis(1)
+	for _, result := range []replica.Result{replica.Shed, replica.Shed, replica.Foreign, replica.Foreign} {
+		for f.request.shards[1].pending == 0 {
+			now += recheckInterval
+			f.tick(now)
+		}
+		f.endShard(now, 1, result)
+	}
+	for f.outcome == nil {
+		now += recheckInterval
+		f.tick(now)
+	}
+	assert.Equal(t, TimedOut, f.outcome.Kind(), "the other shards are pending")
+}
+
+// Guards against a shard that goes to more replicas than its route allows: one that
+// was not reached must not be tried after the route's maximum of others has shed it.
+func TestShedShardStaysAtReplicasThatShedIt(t *testing.T) {
+	f := newRequestFixture(t, shardedRoute("s0", "s1", "s2"))
+	f.endShard(1, 1, replica.NotConnected)
+	for range maxSheds {
+		f.endShard(300, 1, replica.Shed) // the connection backoff has ended
+	}
+	var unreached *replica.Replica
+	reached := make(map[*replica.Replica]bool)
+	for _, send := range f.sent {
+		switch {
+		case send.Shard() != 1:
+		case unreached == nil:
+			unreached = send.Replica()
+		default:
+			reached[send.Replica()] = true
+		}
+	}
+	assert.Len(t, reached, 2)
+	assert.NotContains(t, reached, unreached)
+	assert.True(t, f.request.shards[1].failed)
+}
+
+// Guards against the failures that TestInvariantsUnderRandomResults found with these
+// seeds: an index out of range, and a shard at more replicas than its route allows.
+func TestInvariantsWithSeedsThatFailed(t *testing.T) {
+	seed := flag.Lookup("rapid.seed")
+	before := seed.Value.String()
+	defer func() { require.NoError(t, seed.Value.Set(before)) }()
+	for _, failed := range []string{
+		"15706607428960751922", "17534530875392456761", "1969194649850527929", "13185231995608389381",
+	} {
+		require.NoError(t, seed.Value.Set(failed))
+		t.Run(failed, TestInvariantsUnderRandomResults)
+	}
+}
+
 // Guards, with random results in random order, against a second run, a false
 // refusal, two outcomes, a shard twice in an answer, and too many attempts.
 func TestInvariantsUnderRandomResults(t *testing.T) {
--- a/core/dispatch/shard.go
+++ b/core/dispatch/shard.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"slices"
+
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/replica"
 )
@@ -9,8 +11,9 @@
 type shard struct {
 	pool            *replica.Pool
 	tried           []*replica.Replica // excluded from the next pick
+	shedBy          []*replica.Replica // replicas that shed an attempt, the last one at the end
 	allowed         []*replica.Replica // for further attempts; nil for all
-	attemptLimit    int                // raises the route's limit of attempts if greater
+	raisedLimit     int                // raises the route's limit of attempts if greater
 	reached         int                // attempts that reached a replica of the service
 	shed            int                // attempts that the replica shed
 	connectFailures int                // attempts that reached no replica of the service
@@ -38,6 +41,9 @@
 	if q.delegated {
 		criteria = criteria.LocalOnly()
 	}
+	if s.allowed != nil {
+		criteria = criteria.Among(s.allowed)
+	}
 	return s.pool.Pick(now, criteria)
 }
 
@@ -112,13 +118,13 @@
 // retryOrFail makes another attempt for shard i, schedules one, or fails the shard.
 func (q *Request) retryOrFail(now clock.Millis, i int) {
 	s := &q.shards[i]
-	if !q.delegated && s.reached >= q.route.MaxAttempts() && s.shed == s.reached && s.reached < maxSheds &&
-		!q.backlogged(now, s) {
+	if !q.delegated && s.reached >= q.attemptLimit(s) && s.shed == s.reached && s.reached < maxSheds &&
+		len(s.shedBy) > 0 && !q.backlogged(now, s) {
 		// The attempts are used up, but none has run the request. The route
 		// allows no further replicas, so the same ones are retried.
 		s.allowShedReplicas()
 	}
-	if s.reached >= max(q.route.MaxAttempts(), s.attemptLimit) || s.connectFailures >= maxConnectFailures {
+	if s.reached >= q.attemptLimit(s) || s.connectFailures >= maxConnectFailures {
 		q.failShard(i)
 		return
 	}
@@ -143,24 +149,30 @@
 	q.send(now, i, r, q.retryPurpose(s))
 }
 
+// attemptLimit returns how many attempts for the shard may reach a replica.
+func (q *Request) attemptLimit(s *shard) int { return max(q.route.MaxAttempts(), s.raisedLimit) }
+
+// recordShed records that a replica has shed an attempt for the shard.
+func (s *shard) recordShed(by *replica.Replica) {
+	s.shed++
+	s.shedBy = append(slices.DeleteFunc(s.shedBy, func(r *replica.Replica) bool { return r == by }), by)
+}
+
 // allowShedReplicas restricts the shard to the replicas that have shed it, and
-// allows one more attempt at one of them.
+// allows one more attempt at one of them, if possible not the last one.
 func (s *shard) allowShedReplicas() {
-	if s.allowed == nil {
-		s.allowed = s.tried
-	}
-	last := s.tried[len(s.tried)-1]
-	s.attemptLimit = s.reached + 1
-	s.tried = s.pool.Except(s.allowed)
+	s.allowed = slices.Clone(s.shedBy)
+	s.raisedLimit = s.reached + 1
+	s.tried = s.tried[:0]
 	if len(s.allowed) > 1 {
-		s.tried = append(s.tried, last)
+		s.tried = append(s.tried, s.allowed[len(s.allowed)-1])
 	}
 }
 
 // retryPurpose returns First if no tried replica is recorded: before any attempt,
 // after a delegation that was not run, or after the tried replicas were reset.
 func (q *Request) retryPurpose(s *shard) Purpose {
-	if len(s.tried) == 0 {
+	if len(s.tried) == 0 && s.allowed == nil {
 		return First
 	}
 	return Retry
--- a/core/replica/pick.go
+++ b/core/replica/pick.go
@@ -37,7 +37,8 @@
 	expected             clock.Millis // latency
 	localPreferenceLimit clock.Millis
 	tried                []*Replica
-	regions              []string // nil or empty for all
+	among                []*Replica // nil for all
+	regions              []string   // nil or empty for all
 	localOnly            bool
 	nonIdempotent        bool
 }
@@ -63,15 +64,21 @@
 	return c
 }
 
+// Among restricts the choice to the given replicas. The slice is not copied.
+func (c Criteria) Among(replicas []*Replica) Criteria {
+	c.among = replicas
+	return c
+}
+
 // LocalOnly restricts the choice to the daemon's own data centre.
 func (c Criteria) LocalOnly() Criteria {
 	c.localOnly = true
 	return c
 }
 
-// allows reports whether the location of the replica satisfies the criteria.
+// allows reports whether the replica satisfies the criteria apart from those tried.
 func (c *Criteria) allows(r *Replica) bool {
-	if c.localOnly && !r.Local() {
+	if (c.localOnly && !r.Local()) || (c.among != nil && !slices.Contains(c.among, r)) {
 		return false
 	}
 	return len(c.regions) == 0 || (r.region != "" && slices.Contains(c.regions, r.region))
@@ -220,17 +227,6 @@
 	return found
 }
 
-// Except returns the replicas of the pool that are not among the given ones.
-func (p *Pool) Except(given []*Replica) []*Replica {
-	var others []*Replica
-	for _, r := range p.replicas {
-		if !slices.Contains(given, r) {
-			others = append(others, r)
-		}
-	}
-	return others
-}
-
 // UsableCount returns the number of replicas that are neither displaced, draining,
 // in connection backoff nor in a data centre that is out of service.
 func (p *Pool) UsableCount(now clock.Millis) int {
