Replies: notices of replicas, bounds for endless ones, second copies

Cause: Server-Leaving and Retry-After of a replica's answer were not read, so a replica that leaves stayed in the choices until the list showed it. A second copy of a reply has the ID of its request: on a retry at the same replica over the same connection it passed as the reply to the retry. Bodies without an end were read up to 4 MiB each, with no bound for all of them, and counted as lost connections, that is, as crashes that quarantine a request.

Change: core/replica applies notices. Observations and delegations tell peers. Retries at a replica use a new connection. The result Garbled covers bytes that are no reply; the bodies that are read at a time share 32 MiB. A reply on a reused connection must state its request.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 //	})
 //	actions := q.Start(now)
 //	for each action: send, delegate, report, abandon, reset the timer, or finish
+//	q.RecordNotices(now, attempt, notices) // of a reply
 //	actions = q.RecordResult(now, attempt, replica.OK)
 //	actions = q.HandleDelegationReport(now, report)
 //	actions = q.Tick(now)
@@ -221,6 +222,13 @@
 	}
 }
 
+// RecordNotices applies what the reply to the attempt with the given number states
+// about the replica. It is called before RecordResult, which may choose a replica.
+func (q *Request) RecordNotices(now clock.Millis, number int, notices replica.Notices) {
+	a := &q.attempts[number]
+	a.replica.HandleNotices(now, a.startedAt, notices)
+}
+
 // RecordResult records the result of the attempt with the given number. The
 // replica's statistics are updated even if the attempt is abandoned or the
 // request has finished. A second result of the same attempt is ignored.
--- a/core/dispatch/shard.go
+++ b/core/dispatch/shard.go
@@ -232,7 +232,7 @@
 		return
 	}
 	r, err := q.pickReplica(now, s)
-	if err != nil || r.Overdue(now, q.expectedLatency) || !s.pool.Budget().Take(now, q.budgetReserve(now)) {
+	if err != nil || r.Held(now) || r.Overdue(now, q.expectedLatency) || !s.pool.Budget().Take(now, q.budgetReserve(now)) {
 		return
 	}
 	q.send(now, i, r, Hedge)
--- a/core/replica/observation.go
+++ b/core/replica/observation.go
@@ -25,6 +25,8 @@
 	id          string
 	slowness    float64 // multiple of the expected latency
 	failureRate float64 // share of recent exchanges that failed, 0 to 1
+	incarnation int64   // of the replica that is leaving
+	leaving     bool    // stated by the replica
 }
 
 // NewObservation returns an observation received from a peer. It clamps
@@ -35,6 +37,17 @@
 	}
 }
 
+// AsLeaving returns a copy with the statement of the replica that its run with the
+// given incarnation is about to shut down.
+func (o Observation) AsLeaving(incarnation int64) Observation {
+	o.leaving, o.incarnation = true, incarnation
+	return o
+}
+
+// Leaving returns the incarnation of the replica that is about to shut down, and
+// whether it stated so.
+func (o Observation) Leaving() (incarnation int64, leaving bool) { return o.incarnation, o.leaving }
+
 // ID returns the id of the replica.
 func (o Observation) ID() string { return o.id }
 
@@ -61,16 +74,29 @@
 				o.failureRate = 1
 			}
 		}
-		if o.slowness >= slowThreshold || o.failureRate >= failingThreshold {
+		if r.leaving {
+			o = o.AsLeaving(r.entry.spec.Incarnation)
+		}
+		if o.leaving || o.slowness >= slowThreshold || o.failureRate >= failingThreshold {
 			found = append(found, o)
 		}
 	}
 	slices.SortFunc(found, func(a, b Observation) int {
-		return cmp.Or(cmp.Compare(b.slowness+b.failureRate, a.slowness+a.failureRate), cmp.Compare(a.id, b.id))
+		return cmp.Or(cmp.Compare(b.severity(), a.severity()), cmp.Compare(a.id, b.id))
 	})
 	return found[:min(len(found), maxObservations)]
 }
 
+// severity orders observations; a larger one is worse. A replica that leaves comes
+// before all others.
+func (o Observation) severity() float64 {
+	severity := o.slowness + o.failureRate
+	if o.leaving {
+		severity += maxLatencyRatio
+	}
+	return severity
+}
+
 // ReceiveObservations applies the observations of a peer. This daemon's own
 // evidence takes precedence up to the age ownEvidencePrecedence.
 func (s *Set) ReceiveObservations(now clock.Millis, observations []Observation) {
@@ -79,6 +105,9 @@
 		if r == nil {
 			continue
 		}
+		if o.leaving && o.incarnation == r.entry.spec.Incarnation {
+			r.peerLeavingUntil = now + peerLeavingLifetime
+		}
 		if o.slowness >= slowThreshold && (r.slownessFromPeer || now-r.lastSampleAt > ownEvidencePrecedence) {
 			r.ratioCount, r.nextRatio = 0, 0
 			r.storeRatio(o.slowness)
--- a/core/replica/pick.go
+++ b/core/replica/pick.go
@@ -92,7 +92,7 @@
 }
 
 // Pick returns the replica that satisfies the criteria and has the lowest score,
-// which estimates the time until it answers. A replica that is draining or in
+// which estimates the time until it answers. A replica that is draining, held or in
 // connection backoff is returned only if there is no other one. Pick returns
 // ErrNoneUsable, or ErrBusy if all usable replicas are at a limit. The caller
 // records the exchange with Replica.Begin.
@@ -111,10 +111,12 @@
 		}
 		score := r.score(now, criteria)
 		switch {
-		case r.entry.Draining():
+		case r.draining():
 			if now < r.drainingSince+drainGrace {
 				lastResort.offer(r, score)
 			}
+		case now < r.peerLeavingUntil, r.Held(now):
+			lastResort.offer(r, score+max(0, r.hold.until-now))
 		case now < r.retryAt:
 			// An unreachable replica is a last resort: the attempt costs little
 			// and shows when the replica is back.
@@ -228,7 +230,7 @@
 }
 
 // UsableCount returns the number of replicas that are neither displaced, draining,
-// in connection backoff nor in a data centre that is out of service.
+// held, in connection backoff nor in a data centre that is out of service.
 func (p *Pool) UsableCount(now clock.Millis) int {
 	n := 0
 	for _, r := range p.replicas {
@@ -245,9 +247,11 @@
 	wait := clock.Second // the list of replicas is read again by then
 	for _, r := range p.replicas {
 		switch {
-		case r.displaced || r.entry.Draining() || slices.Contains(p.set.outOfService, r.entry.DataCentre()):
+		case r.displaced || r.draining() || slices.Contains(p.set.outOfService, r.entry.DataCentre()):
 		case now < r.retryAt:
 			wait = min(wait, r.retryAt-now)
+		case r.Held(now):
+			wait = min(wait, r.hold.until-now)
 		case !r.hasCapacity(now), now < r.sheddingUntil:
 			waiting := max(1, len(r.pending)-r.entry.Slots())
 			wait = min(wait, expected*clock.Millis(waiting)/clock.Millis(r.entry.Slots()))
@@ -258,10 +262,10 @@
 	return wait
 }
 
-// hasCapacity reports whether the limits on connections and on requests to a cold
-// replica allow another exchange.
+// hasCapacity reports whether the limits on connections and on requests to a cold or
+// held replica allow another exchange.
 func (r *Replica) hasCapacity(now clock.Millis) bool {
-	if len(r.pending) >= r.pool.MaxConnections() {
+	if len(r.pending) >= r.pool.MaxConnections() || !r.hold.allows(now) {
 		return false
 	}
 	return !r.Cold(now) || r.pool.warmUpRate <= 0 || now >= r.nextColdRequestAt
--- a/core/replica/pool.go
+++ b/core/replica/pool.go
@@ -138,7 +138,10 @@
 		p.replicas = append(p.replicas, r)
 	}
 	if e.Draining() && !r.entry.Draining() {
-		r.drainingSince, change = now, changeDraining
+		if !r.leaving {
+			r.drainingSince = now
+		}
+		change = changeDraining
 	}
 	r.entry = e
 	s.locate(r)
@@ -179,8 +182,9 @@
 }
 
 // CountByState returns the number of replicas in each state. A replica counts in
-// the first state that applies of draining, displaced, unreachable, out (its data
-// centre is out of service), cold, slow, failing and ready.
+// the first state that applies of draining, leaving (by its replies), displaced,
+// unreachable, held (it wants no request for a time), out (its data centre is out of
+// service), cold, slow, failing and ready.
 func (s *Set) CountByState(now clock.Millis) map[string]int {
 	states := make(map[string]int)
 	for _, r := range s.replicas {
@@ -232,10 +236,14 @@
 	switch {
 	case r.entry.Draining():
 		return "draining"
+	case r.leaving, now < r.peerLeavingUntil:
+		return "leaving"
 	case r.displaced:
 		return "displaced"
 	case now < r.retryAt:
 		return "unreachable"
+	case r.Held(now):
+		return "held"
 	case slices.Contains(r.pool.set.outOfService, r.entry.DataCentre()):
 		return "out"
 	case r.Cold(now):
@@ -358,7 +366,7 @@
 
 // usable reports whether the replica may be picked, apart from its limits.
 func (r *Replica) usable(now clock.Millis) bool {
-	return !r.displaced && !r.entry.Draining() && now >= r.retryAt &&
+	return !r.displaced && !r.draining() && now >= r.peerLeavingUntil && !r.Held(now) && now >= r.retryAt &&
 		!slices.Contains(r.pool.set.outOfService, r.entry.DataCentre())
 }
 
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -72,6 +72,10 @@
 // Slots returns how many requests the replica runs concurrently; at least 1.
 func (e Entry) Slots() int { return e.spec.Slots }
 
+// Incarnation returns the number that differs between two runs of a replica with the
+// same id.
+func (e Entry) Incarnation() int64 { return e.spec.Incarnation }
+
 // Draining reports whether the replica is about to shut down.
 func (e Entry) Draining() bool { return e.spec.Draining }
 
@@ -99,6 +103,9 @@
 	// example because the replica closed the idle connection; the request may
 	// have run.
 	Closed
+	// Garbled means that the bytes received are no reply of the protocol, or exceed its
+	// limits; the request may have run.
+	Garbled
 	// Silent means that no answer arrived in time; the request may have run.
 	Silent
 	// Abandoned means that this daemon cancelled the exchange, for example because
@@ -107,7 +114,7 @@
 )
 
 var resultNames = [...]string{
-	"ok", "failed", "shed", "foreign", "not connected", "lost", "closed", "silent", "abandoned",
+	"ok", "failed", "shed", "foreign", "not connected", "lost", "closed", "garbled", "silent", "abandoned",
 }
 
 // String names the result as it appears in logs and metrics.
@@ -192,7 +199,10 @@
 	retryAt         clock.Millis // end of the connection backoff
 	sheddingUntil   clock.Millis // until when the replica is assumed to shed
 
-	drainingSince     clock.Millis
+	drainingSince     clock.Millis // by its entry or its replies, whichever is first
+	leaving           bool         // stated by a reply of this run of the replica
+	peerLeavingUntil  clock.Millis // until when a report of a peer that the replica leaves applies
+	hold              hold
 	coldUntil         clock.Millis
 	nextColdRequestAt clock.Millis // earliest instant of this daemon's next request while cold
 
@@ -220,6 +230,7 @@
 func (r *Replica) Begin(now, serviceTime clock.Millis) {
 	r.pending = append(r.pending, exchange{startedAt: now, serviceTime: serviceTime})
 	r.pool.AddWork(now, serviceTime)
+	r.hold.recordSend(now)
 	if r.Cold(now) && r.pool.warmUpRate > 0 {
 		r.nextColdRequestAt = now + r.pool.coldInterval()
 	}
@@ -249,6 +260,8 @@
 		r.lastFailureRateAt = now
 	case NotConnected:
 		r.startBackoff(now)
+	case Garbled:
+		r.updateFailureRate(now, lossWeight)
 	case Lost:
 		r.updateFailureRate(now, lossWeight)
 		r.retryAt = max(r.retryAt, now+lossBackoff)
--- a/entry/exchange/client.go
+++ b/entry/exchange/client.go
@@ -5,11 +5,13 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/entry/body"
 	"github.com/lovagegap/lovagegap/entry/socket"
 )
 
@@ -36,6 +38,9 @@
 type Client struct {
 	clock   clock.Clock
 	headers HeaderNames
+	memory  *body.Memory // of the replies that are being read
+
+	ignoredRetryAfters atomic.Int64
 
 	mu      sync.Mutex
 	idle    map[string][]*conn // by address, the most recently used last
@@ -46,9 +51,20 @@
 
 // NewClient returns a client without connections.
 func NewClient(c clock.Clock, headers HeaderNames) *Client {
-	return &Client{clock: c, headers: headers, idle: make(map[string][]*conn), silent: make(map[string]int)}
+	return &Client{
+		clock: c, headers: headers, memory: body.NewMemory(maxReplyMemory),
+		idle: make(map[string][]*conn), silent: make(map[string]int),
+	}
 }
 
+// IgnoredRetryAfters returns the number of replies so far whose Retry-After header is
+// not a number of seconds.
+func (c *Client) IgnoredRetryAfters() int64 { return c.ignoredRetryAfters.Load() }
+
+// ReplyMemory returns the number of bytes that the replies being read occupy, without
+// the first few kilobytes of each.
+func (c *Client) ReplyMemory() int64 { return c.memory.Used() }
+
 // Opened returns the number of connections opened so far.
 func (c *Client) Opened() int64 {
 	c.mu.Lock()
--- a/entry/exchange/conn.go
+++ b/entry/exchange/conn.go
@@ -18,13 +18,21 @@
 	readBufferBytes = 2 << 10
 	maxHeaderBytes  = 64 << 10
 	maxBodyBytes    = 4 << 20
+	// maxReplyMemory bounds the bodies that a client reads at a time, so that replicas
+	// that send bytes without end do not use up the memory of the daemon.
+	maxReplyMemory = 32 << 20
 	// maxReplies bounds the replies that are read for an exchange, including skipped
 	// ones: informational replies and those to other requests.
 	maxReplies = 3
 )
 
-// errOtherReplies is returned if the last of maxReplies replies was skipped too.
-var errOtherReplies = errors.New("no reply to this request among the replies read")
+var (
+	// errOtherReplies is returned if the last of maxReplies replies was skipped too.
+	errOtherReplies = errors.New("no reply to this request among the replies read")
+	// errUnidentifiedReply is returned for a reply on a reused connection that does not
+	// state the ID of its request.
+	errUnidentifiedReply = errors.New("reply on a reused connection without the ID of its request")
+)
 
 // conn is a connection to a replica. One exchange at a time uses it.
 type conn struct {
@@ -35,8 +43,16 @@
 	idleUntil  clock.Millis
 	keepAlive  clock.Millis // idle limit that the replica announced, or 0
 	reused     bool
-	replyBegun bool // whether a byte of a reply was read in the current exchange
-	closing    bool // the replica closes the connection after this reply
+	replyBegun bool  // whether a byte of a reply was read in the current exchange
+	closing    bool  // the replica closes the connection after this reply
+	readErr    error // of the last read, such as io.EOF; the HTTP parser replaces it
+}
+
+// Read implements io.Reader.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.readErr = err
+	return n, err
 }
 
 // newConn takes ownership of a TCP connection, also if it returns an error.
@@ -46,7 +62,8 @@
 		_ = inner.Close()
 		return nil, err
 	}
-	c := &conn{Conn: inner, probe: socket.NewProbe(raw), limited: io.LimitedReader{R: inner}}
+	c := &conn{Conn: inner, probe: socket.NewProbe(raw)}
+	c.limited.R = c
 	c.reader = bufio.NewReaderSize(&c.limited, readBufferBytes)
 	return c, nil
 }
@@ -79,19 +96,20 @@
 			continue
 		}
 		c.limited.N = maxBodyBytes + maxHeaderBytes
-		data, err := body.Read(response, maxBodyBytes)
+		data, err := body.Read(response, maxBodyBytes, x.client.memory)
 		if err != nil {
 			return nil, false, c.readError(err)
 		}
-		if id := response.Header.Get(x.client.headers.RequestID); id != "" && id != x.spec.RequestID {
+		id := response.Header.Get(x.client.headers.RequestID)
+		if id != "" && id != x.spec.RequestID {
 			continue
 		}
-		c.recordConnectionHeaders(response)
-		reply = &Reply{
-			status: response.StatusCode, header: response.Header, body: data,
-			seal: response.Header.Get(x.client.headers.Seal),
+		if id == "" && c.reused && x.spec.RequestID != "" {
+			// It may be the reply to an earlier request on the connection.
+			return nil, false, errUnidentifiedReply
 		}
-		return reply, !response.Close && c.reader.Buffered() == 0, nil
+		c.recordConnectionHeaders(response)
+		return x.client.newReply(response, data), !response.Close && c.reader.Buffered() == 0, nil
 	}
 	return nil, false, errOtherReplies
 }
@@ -104,12 +122,23 @@
 	}
 }
 
-// readError returns body.ErrOversized if the error is due to the size limit.
+// errMalformedReply marks errors of replies that are no valid HTTP.
+var errMalformedReply = errors.New("reply is not valid HTTP")
+
+// readError returns body.ErrOversized if the error is due to the size limit, and marks
+// that of a reply that is no valid HTTP. The error of a reply that the end of the
+// connection or the deadline cut is that of the connection.
 func (c *conn) readError(err error) error {
-	if c.limited.N <= 0 {
+	switch {
+	case c.limited.N <= 0:
 		return body.ErrOversized
+	case c.readErr != nil:
+		return c.readErr
+	case errors.Is(err, body.ErrOversized), errors.Is(err, body.ErrNoMemory):
+		return err
+	default:
+		return errors.Mark(err, errMalformedReply)
 	}
-	return err
 }
 
 // classifyFailure returns the result of an exchange of which bytes were sent and that
@@ -119,6 +148,9 @@
 	switch {
 	case errors.As(err, &network) && network.Timeout():
 		return replica.Silent
+	case errors.Is(err, body.ErrOversized), errors.Is(err, body.ErrNoMemory), errors.Is(err, errMalformedReply),
+		errors.Is(err, errOtherReplies), errors.Is(err, errUnidentifiedReply):
+		return replica.Garbled
 	case c.reused && !c.replyBegun:
 		return replica.Closed
 	default:
--- a/entry/exchange/exchange.go
+++ b/entry/exchange/exchange.go
@@ -15,8 +15,10 @@
 package exchange
 
 import (
+	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -31,6 +33,7 @@
 	ExpectInstance string // instance for which the request is meant
 	NotRun         string // set by a replica that refused the request without running it
 	Seal           string // by which a replica proves that it produced the reply
+	Leaving        string // set to "1" in all replies of a replica that is about to shut down
 }
 
 // Spec describes an exchange. It must not be modified until the exchange has ended.
@@ -55,10 +58,37 @@
 
 // Reply is the complete reply of a replica. It is not modified after Run returned it.
 type Reply struct {
-	status int
-	header http.Header
-	body   []byte
-	seal   string
+	status  int
+	header  http.Header
+	body    []byte
+	seal    string
+	notices replica.Notices
+}
+
+// newReply returns the reply with the body that was read from the response.
+func (c *Client) newReply(response *http.Response, data []byte) *Reply {
+	return &Reply{
+		status: response.StatusCode, header: response.Header, body: data,
+		seal: response.Header.Get(c.headers.Seal), notices: c.readNotices(response),
+	}
+}
+
+// readNotices returns what the reply states about the replica. A Retry-After that is
+// not a number of seconds is ignored and counted.
+func (c *Client) readNotices(response *http.Response) replica.Notices {
+	notices := replica.Notices{Leaving: c.headers.Leaving != "" && response.Header.Get(c.headers.Leaving) == "1"}
+	if response.StatusCode != http.StatusServiceUnavailable {
+		return notices
+	}
+	if text := response.Header.Get("Retry-After"); text != "" {
+		seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+		if err != nil || !(seconds >= 0) || math.IsInf(seconds, 0) {
+			c.ignoredRetryAfters.Add(1)
+			return notices
+		}
+		notices.RetryAfter = clock.Second * clock.Millis(seconds)
+	}
+	return notices
 }
 
 // Status returns the status code.
@@ -74,6 +104,9 @@
 // "".
 func (r *Reply) Seal() string { return r.seal }
 
+// Notices returns what the reply states about the replica.
+func (r *Reply) Notices() replica.Notices { return r.notices }
+
 // Exchange is one request to one replica. Run may be called once; Abandon is safe for
 // concurrent use.
 type Exchange struct {
--- /dev/null
+++ b/entry/exchange/hostile_test.go
@@ -0,0 +1,271 @@
+package exchange
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/replica"
+)
+
+// endlessReplica answers each request with head and then with text again and again,
+// until the client closes the connection. It sends on closed when that happens.
+type endlessReplica struct {
+	net.Listener
+	closed chan int // bytes sent on the connection
+}
+
+func newEndlessReplica(t testing.TB, head, text string, pause time.Duration) *endlessReplica {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &endlessReplica{Listener: listener, closed: make(chan int, 256)}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c, head, text, pause)
+		}
+	}()
+	return s
+}
+
+func (s *endlessReplica) serve(c net.Conn, head, text string, pause time.Duration) {
+	defer c.Close()
+	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		return
+	}
+	total, err := c.Write([]byte(head))
+	for err == nil {
+		var n int
+		n, err = c.Write([]byte(text))
+		total += n
+		time.Sleep(pause)
+	}
+	s.closed <- total
+}
+
+func (s *endlessReplica) spec(timeLeft clock.Millis) Spec {
+	return Spec{
+		Address: s.Addr().String(), Instance: "i-1", Method: http.MethodGet, Target: "/a", Host: "h.example",
+		Header: http.Header{"Id": {"r1"}}, RequestID: "r1", Deadline: clock.Clock{}.Now() + timeLeft,
+	}
+}
+
+// endlessReplies are replies without an end, as a head and a text that is repeated.
+var endlessReplies = map[string][2]string{
+	"status line":   {"HTTP/1.1 200 ", strings.Repeat("x", 1<<10)},
+	"header value":  {"HTTP/1.1 200 OK\r\nSeal: ", strings.Repeat("x", 1<<10)},
+	"headers":       {"HTTP/1.1 200 OK\r\n", "Seal: 1234567890\r\n"},
+	"informational": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	"until the end": {"HTTP/1.1 200 OK\r\nSeal: s\r\n\r\n", strings.Repeat("x", 16<<10)},
+	"chunks":        {"HTTP/1.1 200 OK\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1<<10) + "\r\n"},
+	"chunk extension": {"HTTP/1.1 200 OK\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n1;x=",
+		strings.Repeat("x", 1<<10)},
+	"trailers":   {"HTTP/1.1 200 OK\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", "Seal: 1234567890\r\n"},
+	"other IDs":  {"", strings.ReplaceAll(completeReply, "r1", "r0")},
+	"no message": {"", "\x00\x01\x02"},
+}
+
+// Guards against an exchange that reads a reply without an end to its deadline, or
+// keeps its connection: it must end after a bounded number of bytes, as an answer that
+// is not one, with the connection closed and its memory given back.
+func TestEndlessReplyIsBoundedInBytes(t *testing.T) {
+	for name, texts := range endlessReplies {
+		t.Run(name, func(t *testing.T) {
+			s := newEndlessReplica(t, texts[0], texts[1], 0)
+			client := NewClient(clock.Clock{}, headerNames)
+			reply, result := run(t, client, s.spec(20*clock.Second))
+			assert.Equal(t, replica.Garbled.String(), result.String())
+			assert.Nil(t, reply)
+			assert.Zero(t, client.ReplyMemory())
+			select {
+			case <-s.closed:
+			case <-time.After(5 * time.Second):
+				t.Error("the connection is still open 5 s after the exchange has ended")
+			}
+		})
+	}
+}
+
+// Guards against a replica that holds an exchange by sending a byte now and then: the
+// deadline ends it, also while bytes arrive.
+func TestEndlessReplyIsBoundedInTime(t *testing.T) {
+	for name, texts := range endlessReplies {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newEndlessReplica(t, texts[0], texts[1][:1], 5*time.Millisecond)
+			started := time.Now()
+			_, result := run(t, NewClient(clock.Clock{}, headerNames), s.spec(150))
+			assert.Contains(t, []replica.Result{replica.Silent, replica.Garbled}, result)
+			assert.Less(t, time.Since(started), time.Second)
+			select {
+			case <-s.closed:
+			case <-time.After(5 * time.Second):
+				t.Error("the connection is still open 5 s after the deadline")
+			}
+		})
+	}
+}
+
+// Guards against memory that grows with the number of replicas that send bytes without
+// end: the bodies that are read share a bound.
+func TestEndlessRepliesShareMemory(t *testing.T) {
+	client := NewClient(clock.Clock{}, headerNames)
+	peak := readFromEndlessReplicas(t, client, 100)
+	assert.LessOrEqual(t, peak.reserved, int64(maxReplyMemory))
+	assert.LessOrEqual(t, peak.heap, int64(4*maxReplyMemory), "heap, with the buffers that wait for collection")
+	assert.Zero(t, client.ReplyMemory())
+}
+
+type memoryPeak struct{ reserved, heap int64 }
+
+// readFromEndlessReplicas reads from count replicas at once whose bodies have no end,
+// and returns the peak of the memory above that at the start.
+func readFromEndlessReplicas(t testing.TB, client *Client, count int) memoryPeak {
+	texts := endlessReplies["until the end"]
+	s := newEndlessReplica(t, texts[0], texts[1], 0)
+	var before, now runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var wait sync.WaitGroup
+	for range count {
+		wait.Go(func() { client.NewExchange(s.spec(20 * clock.Second)).Run() })
+	}
+	done := make(chan struct{})
+	go func() {
+		wait.Wait()
+		close(done)
+	}()
+	var peak memoryPeak
+	for {
+		runtime.ReadMemStats(&now)
+		peak.reserved = max(peak.reserved, client.ReplyMemory())
+		peak.heap = max(peak.heap, int64(now.HeapAlloc)-int64(before.HeapAlloc))
+		select {
+		case <-done:
+			return peak
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// BenchmarkEndlessReplies reports the memory of exchanges with replicas that send
+// bodies without end, by the number of replicas at a time.
+func BenchmarkEndlessReplies(b *testing.B) {
+	for _, count := range []int{10, 100} {
+		b.Run(fmt.Sprintf("%d replicas", count), func(b *testing.B) {
+			var peak memoryPeak
+			for b.Loop() {
+				p := readFromEndlessReplicas(b, NewClient(clock.Clock{}, headerNames), count)
+				peak = memoryPeak{max(peak.reserved, p.reserved), max(peak.heap, p.heap)}
+			}
+			b.ReportMetric(float64(peak.reserved)/(1<<20), "MiB-reserved")
+			b.ReportMetric(float64(peak.heap)/(1<<20), "MiB-heap")
+		})
+	}
+}
+
+// Guards against a reply to an earlier request that is taken for that to a later one on
+// the same connection because it does not state whose it is.
+func TestReplyWithoutIDOnReusedConnection(t *testing.T) {
+	const unidentified = "HTTP/1.1 503 Full\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n"
+	s := newScriptedReplica(t, completeReply, unidentified+completeReply)
+	client := NewClient(clock.Clock{}, headerNames)
+	_, result := run(t, client, s.spec("r1"))
+	require.Equal(t, replica.OK, result)
+	_, result = run(t, client, s.spec("r1"))
+	assert.Equal(t, replica.Garbled, result, "must not be taken as a refusal of the second request")
+	assert.False(t, result.NotRun())
+}
+
+// Guards against a notice of a replica that is lost, misread or without a bound.
+func TestNoticesOfReplica(t *testing.T) {
+	cases := map[string]struct {
+		head    string
+		notices replica.Notices
+		ignored int64
+	}{
+		"none":              {"200 OK\r\nSeal: s", replica.Notices{}, 0},
+		"leaving":           {"200 OK\r\nSeal: s\r\nLeaving: 1", replica.Notices{Leaving: true}, 0},
+		"not leaving":       {"200 OK\r\nSeal: s\r\nLeaving: 0", replica.Notices{}, 0},
+		"leaving, refused":  {"503 Full\r\nRefused: 1\r\nLeaving: 1", replica.Notices{Leaving: true}, 0},
+		"seconds":           {"503 Full\r\nRefused: 1\r\nRetry-After: 2", replica.Notices{RetryAfter: 2000}, 0},
+		"fraction":          {"503 Full\r\nRetry-After: 0.25", replica.Notices{RetryAfter: 250}, 0},
+		"very long":         {"503 Full\r\nRetry-After: 1e9", replica.Notices{RetryAfter: 1e12}, 0},
+		"date":              {"503 Full\r\nRetry-After: Fri, 31 Dec 1999 23:59:59 GMT", replica.Notices{}, 1},
+		"negative":          {"503 Full\r\nRetry-After: -1", replica.Notices{}, 1},
+		"not a number":      {"503 Full\r\nRetry-After: NaN", replica.Notices{}, 1},
+		"infinite":          {"503 Full\r\nRetry-After: Inf", replica.Notices{}, 1},
+		"too large":         {"503 Full\r\nRetry-After: 1e999", replica.Notices{}, 1},
+		"garbage":           {"503 Full\r\nRetry-After: soon", replica.Notices{}, 1},
+		"of another status": {"429 Many\r\nRetry-After: 2", replica.Notices{}, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newScriptedReplica(t, "HTTP/1.1 "+c.head+"\r\nId: r1\r\nContent-Length: 0\r\n\r\n")
+			client := NewClient(clock.Clock{}, headerNames)
+			reply, _ := run(t, client, s.spec("r1"))
+			require.NotNil(t, reply)
+			assert.Equal(t, c.notices, reply.Notices())
+			assert.Equal(t, c.ignored, client.IgnoredRetryAfters())
+		})
+	}
+}
+
+// FuzzReadReply guards against bytes of a replica that end the process, exceed the
+// limits, or pass as an answer without its seal.
+func FuzzReadReply(f *testing.F) {
+	for _, texts := range endlessReplies {
+		f.Add([]byte(texts[0] + texts[1]))
+	}
+	for _, text := range []string{
+		completeReply, completeReply + completeReply, "HTTP/1.1 503 Full\r\nRetry-After: 1e400\r\nLeaving: 1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=99999999999999999999\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 999999999 OK\r\n\r\n", "HTTP/9.9 200 OK\r\n\r\n",
+	} {
+		f.Add([]byte(text))
+	}
+	client := NewClient(clock.Clock{}, headerNames)
+	x := client.NewExchange(Spec{Method: http.MethodGet, RequestID: "r1"})
+	f.Fuzz(func(t *testing.T, text []byte) {
+		near, far := net.Pipe()
+		c := &conn{Conn: near}
+		c.limited.R = c
+		c.reader = bufio.NewReaderSize(&c.limited, readBufferBytes)
+		go func() {
+			_, _ = far.Write(text)
+			_ = far.Close()
+		}()
+		reply, _, err := c.readReply(x)
+		_ = near.Close()
+		if err != nil {
+			if c.classifyFailure(err).NotRun() {
+				t.Fatal("a failed exchange that sent its request passes as not run")
+			}
+			return
+		}
+		if len(reply.Body()) > maxBodyBytes {
+			t.Fatal("body exceeds its limit")
+		}
+		if x.classify(reply) == replica.OK && reply.Status() < 300 && reply.Seal() == "" {
+			t.Fatal("success without a seal")
+		}
+		if after := reply.Notices().RetryAfter; after < 0 || after != after {
+			t.Fatal("invalid time to retry")
+		}
+	})
+}
--- a/entry/gateway/delegates.go
+++ b/entry/gateway/delegates.go
@@ -64,6 +64,8 @@
 	Failed      []int    `cbor:"7,keyasint,omitempty"` // positions in Services of the request
 	Shed        []int    `cbor:"8,keyasint,omitempty"` // positions in Services of the request
 	HedgeDue    bool     `cbor:"9,keyasint,omitempty"`
+
+	Leaving []wireObservation `cbor:"10,keyasint,omitempty"` // replicas that stated that they leave
 }
 
 func newGatherRequest(request routing.GatherRequest) gatherRequest {
@@ -123,6 +125,7 @@
 	return gatherReply{
 		Shards: positions(part.Covered), Seals: part.Seals, Records: part.Records, NotRun: part.NotRun, More: more,
 		LostReplica: part.LostReplica, Failed: positions(part.Failed), Shed: positions(part.Shed), HedgeDue: part.HedgeDue,
+		Leaving: encodeObservations(part.Leaving),
 	}
 }
 
@@ -144,7 +147,7 @@
 	}
 	part = routing.Part{
 		Covered: names(r.Shards), Seals: r.Seals, Records: r.Records, NotRun: r.NotRun, LostReplica: r.LostReplica,
-		Failed: names(r.Failed), Shed: names(r.Shed), HedgeDue: r.HedgeDue,
+		Failed: names(r.Failed), Shed: names(r.Shed), HedgeDue: r.HedgeDue, Leaving: decodeObservations(r.Leaving),
 	}
 	return part, ok
 }
--- a/entry/gateway/mirror_peer.go
+++ b/entry/gateway/mirror_peer.go
@@ -52,20 +52,30 @@
 	ReplicaID   string  `cbor:"1,keyasint"`
 	Slowness    float32 `cbor:"2,keyasint"`
 	FailureRate float32 `cbor:"3,keyasint"`
+	// Leaving means that the run of the replica with the Incarnation leaves.
+	Leaving     bool  `cbor:"4,keyasint,omitempty"`
+	Incarnation int64 `cbor:"5,keyasint,omitempty"`
 }
 
 func encodeObservations(observations []replica.Observation) []wireObservation {
 	wire := make([]wireObservation, len(observations))
 	for i, o := range observations {
 		wire[i] = wireObservation{ReplicaID: o.ID(), Slowness: float32(o.Slowness()), FailureRate: float32(o.FailureRate())}
+		wire[i].Incarnation, wire[i].Leaving = o.Leaving()
 	}
 	return wire
 }
 
 func decodeObservations(wire []wireObservation) []replica.Observation {
+	if len(wire) == 0 {
+		return nil
+	}
 	observations := make([]replica.Observation, len(wire))
 	for i, o := range wire {
 		observations[i] = replica.NewObservation(o.ReplicaID, float64(o.Slowness), float64(o.FailureRate))
+		if o.Leaving {
+			observations[i] = observations[i].AsLeaving(o.Incarnation)
+		}
 	}
 	return observations
 }
--- a/entry/gateway/observations.go
+++ b/entry/gateway/observations.go
@@ -40,8 +40,17 @@
 	reporter           string // daemon that reported the worst one
 }
 
+// leavingSeverity puts a replica that leaves before all slow and failing ones.
+const leavingSeverity = 100
+
 // severity orders the observations of a replica; a larger one is worse.
-func (o wireObservation) severity() float32 { return o.Slowness + o.FailureRate }
+func (o wireObservation) severity() float32 {
+	severity := o.Slowness + o.FailureRate
+	if o.Leaving {
+		severity += leavingSeverity
+	}
+	return severity
+}
 
 // record replaces the observations of a daemon. An empty list removes them.
 func (o *observationMerger) record(now clock.Millis, from string, list []wireObservation) {
--- a/entry/routing/call.go
+++ b/entry/routing/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/lovagegap/lovagegap/core/clock"
@@ -26,6 +27,7 @@
 	reportIn             clock.Millis
 	earlyAnswers         chan Answer // reports for the delegating daemon
 	onReport             func(Part)
+	leaving              []replica.Observation // replicas that stated that they leave
 	traces               []exchangeTrace
 	configurationVersion uint64
 	timer                *time.Timer
@@ -98,7 +100,8 @@
 		Address: entry.Address(), Instance: entry.ID(),
 		Method: c.request.Method, Target: c.request.Target, Host: c.request.Host,
 		Header: c.request.Header, Body: c.request.Body, RequestID: c.request.ID,
-		Deadline: action.At(), NewConnection: !c.route.Idempotent(), RequireSuccess: len(c.route.Shards()) > 0,
+		Deadline: action.At(), RequireSuccess: len(c.route.Shards()) > 0,
+		NewConnection: !c.route.Idempotent() || c.sentTo(entry.ID()),
 	})
 	c.exchanges = append(c.exchanges, x)
 	c.replies = append(c.replies, nil)
@@ -110,6 +113,13 @@
 	go c.runExchange(x, action.Attempt(), action.Replica())
 }
 
+// sentTo reports whether an earlier attempt of the request went to the replica. Its
+// second reply could be taken for that of a later attempt on the same connection, since
+// both state the same ID.
+func (c *call) sentTo(id string) bool {
+	return slices.ContainsFunc(c.traces, func(t exchangeTrace) bool { return t.Replica == id })
+}
+
 func (c *call) runExchange(x *exchange.Exchange, attempt int, target *replica.Replica) {
 	reply, result := x.Run()
 	e := c.engine
@@ -124,11 +134,28 @@
 	if !c.finished {
 		c.traceEnd(now, attempt, result.String())
 	}
+	if reply != nil {
+		c.recordNotices(now, attempt, target, reply.Notices())
+	}
 	actions := c.machine.RecordResult(now, attempt, result)
 	e.logStateChange(now, target, result)
 	c.perform(now, actions)
 }
 
+// recordNotices applies what a reply states about its replica. The caller holds the
+// lock.
+func (c *call) recordNotices(now clock.Millis, attempt int, target *replica.Replica, notices replica.Notices) {
+	c.machine.RecordNotices(now, attempt, notices)
+	entry := target.Entry()
+	if notices.Leaving {
+		c.leaving = append(c.leaving, replica.NewObservation(entry.ID(), 0, 0).AsLeaving(entry.Incarnation()))
+	}
+	if notices.RetryAfter > 0 {
+		c.engine.deps.Log.V(1).Info("replica turned the daemon away", "replica", entry.ID(), "service", entry.Service(),
+			"retryAfter", truncateToTenths(notices.RetryAfter), "request", c.request.ID)
+	}
+}
+
 func (c *call) setTimer(now, at clock.Millis) {
 	delay := max(0, at-now).Duration()
 	if c.timer == nil {
@@ -193,7 +220,7 @@
 		}
 	}
 	answer := mergeParts(c.route, parts, outcome.Missing())
-	answer.outcome, answer.lostReplica = outcome, c.lostReplica()
+	answer.outcome, answer.lostReplica, answer.leaving = outcome, c.lostReplica(), c.leaving
 	return answer
 }
 
--- a/entry/routing/delegation.go
+++ b/entry/routing/delegation.go
@@ -8,6 +8,7 @@
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/dispatch"
+	"github.com/lovagegap/lovagegap/core/replica"
 	"github.com/lovagegap/lovagegap/core/route"
 	"github.com/lovagegap/lovagegap/entry/exchange"
 )
@@ -34,8 +35,9 @@
 	HedgeDue    bool     // whether a hedge of the other shards is due
 	Seals       []string
 	Records     []byte
-	LostReplica string // a replica whose connection was lost, or ""
-	NotRun      bool   // whether no attempt was made and none will be
+	LostReplica string                // a replica whose connection was lost, or ""
+	Leaving     []replica.Observation // replicas that stated that they leave
+	NotRun      bool                  // whether no attempt was made and none will be
 }
 
 func partFromReply(reply *exchange.Reply) Part {
@@ -107,7 +109,7 @@
 func (a Answer) part() Part {
 	return Part{
 		Covered: a.outcome.Covered(), Seals: a.seals, Records: a.body, LostReplica: a.lostReplica,
-		Failed: a.outcome.Failed(), Shed: a.outcome.Shed(), HedgeDue: a.outcome.HedgeDue(),
+		Failed: a.outcome.Failed(), Shed: a.outcome.Shed(), HedgeDue: a.outcome.HedgeDue(), Leaving: a.leaving,
 	}
 }
 
@@ -152,6 +154,7 @@
 	if len(part.Covered) > 0 || part.NotRun {
 		e.partition.RecordRemoteAnswer(now)
 	}
+	e.replicas.ReceiveObservations(now, part.Leaving)
 	if !c.finished {
 		c.delegatedPart.Covered = append(c.delegatedPart.Covered, part.Covered...)
 		c.delegatedPart.Seals = append(c.delegatedPart.Seals, part.Seals...)
--- a/entry/routing/metrics.go
+++ b/entry/routing/metrics.go
@@ -6,9 +6,11 @@
 	defer e.mu.Unlock()
 	now := e.deps.Clock.Now()
 	metrics := map[string]int64{
-		"requests.running":   int64(len(e.running)),
-		"connections.opened": e.client.Opened(),
-		"datacentres.out":    int64(len(e.outOfService)),
+		"requests.running":            int64(len(e.running)),
+		"connections.opened":          e.client.Opened(),
+		"datacentres.out":             int64(len(e.outOfService)),
+		"replies.memory":              e.client.ReplyMemory(),
+		"replies.retry-after-ignored": e.client.IgnoredRetryAfters(),
 	}
 	if e.table != nil {
 		metrics["configuration.version"] = int64(e.table.Version())
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -113,6 +113,7 @@
 	seals       []string
 	outcome     dispatch.Outcome // only of an answer over many shards
 	lostReplica string           // replica whose connection was lost, reported to the delegating daemon
+	leaving     []replica.Observation
 	missing     []string
 	retryAfter  clock.Millis
 	reason      string
--- a/entry/upstreams/conn.go
+++ b/entry/upstreams/conn.go
@@ -19,8 +19,13 @@
 	readBufferBytes = 4 << 10
 	maxHeadBytes    = 64 << 10 // status line and headers of a reply
 	maxBodyBytes    = 4 << 20
+	maxReplyMemory  = 32 << 20
 )
 
+// replyMemory bounds the bodies that are read at a time, so that upstreams that send
+// bytes without end do not use up the memory of the daemon.
+var replyMemory = body.NewMemory(maxReplyMemory)
+
 // errMalformedReply means that a reply is not valid HTTP.
 var errMalformedReply = errors.New("reply is not valid HTTP")
 
@@ -96,7 +101,7 @@
 	// Close would read an oversized body to its end, so the connection is
 	// closed instead after an error.
 	c.limited.N = maxBodyBytes + maxHeadBytes
-	data, err := body.Read(response, maxBodyBytes)
+	data, err := body.Read(response, maxBodyBytes, replyMemory)
 	if err != nil {
 		return reply{}, c.classifyReadError(err)
 	}
@@ -112,7 +117,7 @@
 func (c *conn) classifyReadError(err error) error {
 	var network net.Error
 	switch {
-	case errors.Is(err, body.ErrOversized), errors.As(err, &network):
+	case errors.Is(err, body.ErrOversized), errors.Is(err, body.ErrNoMemory), errors.As(err, &network):
 		return err
 	case c.limited.N <= 0:
 		return body.ErrOversized
--- a/entry/upstreams/exchange.go
+++ b/entry/upstreams/exchange.go
@@ -194,7 +194,7 @@
 		return upstream.IdleConnectionsClosed
 	case !sent:
 		return upstream.NotConnected
-	case errors.Is(err, errMalformedReply), errors.Is(err, body.ErrOversized):
+	case errors.Is(err, errMalformedReply), errors.Is(err, body.ErrOversized), errors.Is(err, body.ErrNoMemory):
 		return upstream.Failed
 	case errors.As(err, &network) && network.Timeout():
 		return upstream.Timeout
