Odd entries of other writers, second replies of upstreams

Cause: a list of VMs was decoded as a whole, so that one element with a field of another type or deep nesting made the daemon stop following it. Entries of replicas with a port out of range, a host name, absurd slots or warm-up, or an id with a line break were taken as replicas; the id becomes a header. A second copy of a reply that states not-run passed as the reply to the next sub-request on the connection, which may have run.

Change: elements of the VM list are split and decoded one by one, invalid ones are counted in platform.vm-list-invalid-elements. Upstreams echo the request id in all replies; on a reused connection a reply without it is failed and may have run.

--- a/entry/daemon/discovery.go
+++ b/entry/daemon/discovery.go
@@ -99,6 +99,10 @@
 		d.log.V(1).Info("daemon: cannot read VM list", "error", err.Error())
 		return
 	}
+	if invalid := d.platform.InvalidVMs(); invalid > 0 {
+		d.telemetry.AddToCounter("platform.vm-list-invalid-elements", invalid)
+		d.log.V(1).Info("daemon: VM list has elements that describe no VM", "elements", invalid)
+	}
 	for _, record := range d.services.observeVMList(inventoryVMs(vms)) {
 		d.control.Publish(record)
 	}
--- a/entry/platform/calls.go
+++ b/entry/platform/calls.go
@@ -52,29 +52,29 @@
 	return c.getValue(ctx, path, target)
 }
 
-// VMs returns the list of VMs, which the caller may change. The platform does not
-// send the list again if it is unchanged since the call before. The error is
-// ErrUnavailable.
+// VMs returns the list of VMs, which the caller may change. Elements that describe no VM
+// are left out and counted by InvalidVMs. The platform does not send the list again if
+// it is unchanged since the call before. The error is ErrUnavailable.
 func (c *Client) VMs(ctx context.Context) ([]VM, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.callTimeout)
 	defer cancel()
 	known, tag := c.vmList.load()
-	var wire []wireVM
-	tag, changed, err := c.getIfChanged(ctx, "/v1/vms", tag, &wire)
+	var list vmList
+	tag, changed, err := c.getIfChanged(ctx, "/v1/vms", tag, list.decode)
 	if err != nil {
 		return nil, err
 	}
 	if !changed {
 		return known, nil
 	}
-	vms := make([]VM, 0, len(wire))
-	for _, w := range wire {
-		vms = append(vms, w.vm())
-	}
-	c.vmList.store(vms, tag)
-	return slices.Clone(vms), nil
+	c.invalidVMs.Store(int64(list.skipped))
+	c.vmList.store(list.vms, tag)
+	return slices.Clone(list.vms), nil
 }
 
+// InvalidVMs returns the number of elements of the last list that describe no VM.
+func (c *Client) InvalidVMs() int64 { return c.invalidVMs.Load() }
+
 // taggedList is the last list of VMs with its HTTP entity tag. The zero value has
 // neither.
 type taggedList struct {
@@ -98,14 +98,16 @@
 // getValue decodes the reply to a GET of path. It returns false if the platform
 // replied that nothing changed.
 func (c *Client) getValue(ctx context.Context, path string, target any) (bool, error) {
-	_, changed, err := c.getIfChanged(ctx, path, "", target)
+	_, changed, err := c.getIfChanged(ctx, path, "", func(text []byte) error { return json.Unmarshal(text, target) })
 	return changed, err
 }
 
 // getIfChanged decodes the reply to a GET of path and returns its entity tag. With a
 // tag that is not empty the platform replies in full only if the content has
 // changed; otherwise the second result is false.
-func (c *Client) getIfChanged(ctx context.Context, path, tag string, target any) (string, bool, error) {
+func (c *Client) getIfChanged(
+	ctx context.Context, path, tag string, decode func(text []byte) error,
+) (string, bool, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.baseURL+path, nil)
 	if err != nil {
 		return "", false, errors.Mark(errors.Wrap(err, "build platform request"), ErrUnavailable)
@@ -125,7 +127,11 @@
 	default:
 		return "", false, errors.Wrapf(ErrUnavailable, "get %s: status %d", path, reply.StatusCode)
 	}
-	if err := decodeReply(reply.Body, target); err != nil {
+	text, err := io.ReadAll(io.LimitReader(reply.Body, maxReplyBytes))
+	if err == nil {
+		err = decode(text)
+	}
+	if err != nil {
 		return "", false, errors.Mark(errors.Wrapf(err, "decode %s", path), ErrUnavailable)
 	}
 	return reply.Header.Get("ETag"), true, nil
--- a/entry/platform/platform.go
+++ b/entry/platform/platform.go
@@ -18,6 +18,7 @@
 import (
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -128,6 +129,7 @@
 	pollWait    time.Duration
 	http        http.Client
 	vmList      taggedList
+	invalidVMs  atomic.Int64
 }
 
 // New returns a client of the platform at base, such as "http://127.0.0.1:7000".
--- a/entry/platform/platform_test.go
+++ b/entry/platform/platform_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -278,3 +279,35 @@
 	requireIs(t, err, platform.ErrUnavailable)
 	client.Close()
 }
+
+// Guards against a daemon that stops following the list of VMs because another writer
+// left an element in it that describes none.
+func TestInvalidElementsOfListAreSkipped(t *testing.T) {
+	good := `{"address":"10.0.0.1:80","role":"entry","dataCentre":"ikeja"}`
+	for name, odd := range map[string]string{
+		"number for a name":    `{"address":"10.0.0.2:80","dataCentre":1e400}`,
+		"port out of range":    `{"address":"10.0.0.2:65536"}`,
+		"port of peer":         `{"address":"10.0.0.2:80","peer":"10.0.0.2:0"}`,
+		"no address":           `{"role":"upstream"}`,
+		"host name":            `{"address":"vm.example:80"}`,
+		"long name":            `{"address":"10.0.0.2:80","service":"` + strings.Repeat("s", 300) + `"}`,
+		"deeply nested":        `{"address":` + strings.Repeat("[", 5000) + strings.Repeat("]", 5000) + `}`,
+		"deeply nested unused": strings.Repeat("[", 9000) + strings.Repeat("]", 9000),
+		"too deeply nested":    strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000),
+		"null":                 `null`,
+		"number":               `99999999999999999999999`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write([]byte("[" + odd + "," + good + "]"))
+			}))
+			defer web.Close()
+			client := platform.New(web.URL)
+			list, err := client.VMs(t.Context())
+			require.NoError(t, err)
+			require.Len(t, list, 1)
+			require.Equal(t, "10.0.0.1:80", list[0].Address())
+			require.EqualValues(t, 1, client.InvalidVMs())
+		})
+	}
+}
--- a/entry/upstreams/conn.go
+++ b/entry/upstreams/conn.go
@@ -90,6 +90,7 @@
 	header   http.Header
 	body     []byte
 	reusable bool
+	reused   bool // the connection carried an exchange before
 }
 
 func (c *conn) readReply(method *http.Request) (reply, error) {
@@ -107,7 +108,7 @@
 	}
 	return reply{
 		status: response.StatusCode, header: response.Header, body: data,
-		reusable: !response.Close && c.reader.Buffered() == 0,
+		reusable: !response.Close && c.reader.Buffered() == 0, reused: c.reused,
 	}, nil
 }
 
--- a/entry/upstreams/exchange.go
+++ b/entry/upstreams/exchange.go
@@ -176,7 +176,7 @@
 	switch {
 	case err != nil && sent && errors.Is(ctx.Err(), context.Canceled):
 		p.abandon(c)
-	case err != nil || !r.reusable || (r.status == http.StatusOK && !e.matchesRequest(r)):
+	case err != nil || !r.reusable || !e.identifies(r):
 		p.discard(c)
 	default:
 		p.release(c)
@@ -208,9 +208,19 @@
 	return r.header.Get("Lovagegap-Request") == e.requestID
 }
 
+// identifies reports whether the reply is the one to e. An upstream may send a reply
+// twice, so on a reused connection it must state the request id. On a new one a reply
+// other than 200 may leave it out.
+func (e *Exchange) identifies(r reply) bool {
+	return e.matchesRequest(r) ||
+		(r.status != http.StatusOK && !r.reused && r.header.Get("Lovagegap-Request") == "")
+}
+
+// outcome returns the outcome of a reply. One that does not belong to e proves nothing,
+// also if it states that its request has not run.
 func (e *Exchange) outcome(r reply) upstream.Outcome {
 	outcome := replyOutcome(r)
-	if outcome == upstream.OK && !e.validAnswer(r) {
+	if !e.identifies(r) || (outcome == upstream.OK && !e.validAnswer(r)) {
 		return upstream.Failed
 	}
 	return outcome
--- a/entry/upstreams/exchange_test.go
+++ b/entry/upstreams/exchange_test.go
@@ -208,6 +208,33 @@
 	}
 }
 
+// TestSecondReplyIsNotTakenForNextRequest guards against a second copy of a reply that
+// arrives while the next sub-request waits on the connection, and that passes as its
+// reply: a sub-request that runs would count as not run, and run again elsewhere.
+func TestSecondReplyIsNotTakenForNextRequest(t *testing.T) {
+	for name, reply := range map[string]func(net.Conn, *http.Request, int){
+		"shed":                 replyWithStatus("503 Shed", "Lovagegap-Ran: not-run\r\nLovagegap-Request: q1/0\r\n"),
+		"shed without id":      replyWithStatus("503 Shed", "Lovagegap-Ran: not-run\r\n"),
+		"gone":                 replyWithStatus("410 Gone", "Lovagegap-Request: q1/0\r\n"),
+		"other shard, no id":   replyWithStatus("421 Misdirected", ""),
+		"valid for another id": replyWithChange("q2/0", "q1/0"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startScripted(t, func(c net.Conn, r *http.Request, n int) {
+				reply(c, r, n)
+			})
+			client := New(clock.Clock{})
+			defer client.Close()
+			exchangeOutcome(client, newExchange(s.id(), "q1/0", longDeadline))
+			require.Equal(t, upstream.Failed, exchangeOutcome(client, newExchange(s.id(), "q2/0", longDeadline)))
+			requests, _ := s.counts()
+			require.Equal(t, 2, requests)
+			_, idle := client.Connections(s.id())
+			require.Zero(t, idle, "the connection must not be used again")
+		})
+	}
+}
+
 // exchangeOutcome runs e without cancellation and returns its outcome.
 func exchangeOutcome(client *Client, e Exchange) upstream.Outcome {
 	result, _ := client.runExchange(context.Background(), &e)
--- a/lovagegap-standin/upstreams/serve.go
+++ b/lovagegap-standin/upstreams/serve.go
@@ -81,6 +81,7 @@
 	p := processOf(r)
 	u.recordArrival(entry, p)
 	w.Header().Set("Lovagegap-Boot", entry.Boot)
+	w.Header().Set("Lovagegap-Request", entry.Request)
 	if code := u.checkRouting(entry); code != 0 {
 		u.recordOutcome(entry, Misrouted)
 		w.WriteHeader(code)
