core/replica, core/dispatch: backlog of a large fleet from the whole route

Cause: a daemon extrapolates its own unfinished work at a shard to all daemons. Ruled out: the budget (1.6 % of it used) and the delay of hedges.

Change: the work of another daemon is the mean over all shards of the route, over the time of 8 requests to the route (150 ms at least), or this daemon's own average at the shard over the time of 8 requests there, if greater.

--- a/core/dispatch/admission.go
+++ b/core/dispatch/admission.go
@@ -41,13 +41,25 @@
 // may leave out the shards with the longest backlogs.
 func (q *Request) queueWait(now clock.Millis) clock.Millis {
 	backlogs := make([]clock.Millis, len(q.shards))
+	groupWork := q.groupWork(now)
 	for i := range q.shards {
-		backlogs[i] = q.shards[i].pool.Backlog(now)
+		backlogs[i] = q.shards[i].pool.Backlog(now, groupWork)
 	}
 	slices.Sort(backlogs)
 	return backlogs[q.requiredShards()-1]
 }
 
+// groupWork returns the mean of this daemon's average work over the shards. A daemon of
+// a large fleet sends a shard a request too rarely to estimate the load of the shard from
+// its own requests there, but all shards of a route get the same requests.
+func (q *Request) groupWork(now clock.Millis) clock.Millis {
+	sum := clock.Millis(0)
+	for i := range q.shards {
+		sum += q.shards[i].pool.AverageWork(now)
+	}
+	return sum / clock.Millis(len(q.shards))
+}
+
 // admit reports whether the request is admitted, and otherwise the time after which
 // the caller may retry. That time grows with the refusal rate, so that returning
 // requests do not arrive in another overload.
@@ -75,5 +87,5 @@
 
 // backlogged reports whether another attempt would only lengthen the shard's queue.
 func (q *Request) backlogged(now clock.Millis, s *shard) bool {
-	return s.pool.Backlog(now) > q.route.Objective()*hedgeBacklogFraction
+	return s.pool.Backlog(now, q.groupWork(now)) > q.route.Objective()*hedgeBacklogFraction
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -150,6 +150,9 @@
 	q.attempts = make([]attempt, 0, len(services)+2)
 	for i, service := range services {
 		q.shards[i] = shard{pool: res.Set.Pool(service), failedReply: -1, winner: -1}
+		if !res.Delegated {
+			q.shards[i].pool.SetGroupSize(len(services))
+		}
 	}
 	q.openShards = len(q.shards)
 	return q
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -132,6 +132,37 @@
 	assert.Greater(t, after.meanBenefit(), 0.98)
 }
 
+// Guards against hedges that a large fleet withholds because one unanswered exchange of
+// a daemon passes for one of each daemon: 79 daemons, 1.3 requests a second to a shard
+// each, replicas that pause 4 % of the time.
+func TestReplicaPausesAreHedgedByLargeFleet(t *testing.T) {
+	all, _ := simulateSeeds(largeScenario(), 0, 1000, 2)
+	t.Log(all)
+	assert.Greater(t, all.meanBenefit(), 0.95)
+	assert.Zero(t, all.refused+all.failed)
+	assert.Less(t, all.extraAttempts(42), 0.2, "hedges")
+}
+
+// Guards against late answers of a large fleet while a fifth of the replicas is eleven
+// times slower: two of three replicas of nearly every shard are sound and have room.
+func TestSlowReplicasAreHedgedByLargeFleet(t *testing.T) {
+	sc := largeScenario()
+	sc.burstFrom, sc.burstTo, sc.slowFraction, sc.slowFactor = 2000, 6000, 0.2, 11
+	_, within := simulateSeeds(sc, 2000, 6000, 2)
+	t.Log(within)
+	assert.Greater(t, within.meanBenefit(), 0.55, "0.32 if one slow exchange passes for one of each daemon")
+}
+
+// Guards against hedges in an overload of a large fleet, which only lengthen the queues.
+func TestOverloadedLargeFleetDoesNotHedge(t *testing.T) {
+	sc := largeScenario()
+	sc.duration = 3000
+	sc.burstFactor, sc.burstFrom, sc.burstTo, sc.slowFraction, sc.slowFactor = 3.2, 1000, 3000, 0.3, 5
+	_, within := simulateSeeds(sc, 1000, 3000, 1)
+	t.Log(within)
+	assert.Less(t, float64(within.hedged)/float64(within.requests*sc.shards), 0.1)
+}
+
 // Guards against dependencies on the order of maps or the time of day: the same
 // seed must give the same result.
 func TestSimulationIsDeterministic(t *testing.T) {
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/replica"
@@ -63,19 +64,47 @@
 	}
 }
 
+// largeScenario is a fleet of 79 daemons in five data centres, two of them without
+// replicas, that share the load of 42 shards: a daemon sends 1.3 requests a second to a
+// shard.
+func largeScenario() scenario {
+	sc := defaultScenario()
+	sc.dataCentres = nil
+	for i := range 79 {
+		sc.dataCentres = append(sc.dataCentres, string(rune('a'+i%5)))
+	}
+	sc.shards, sc.slotsPerReplica, sc.queuePerReplica, sc.serviceTime = 42, 3, 18, 28
+	sc.objective, sc.timeout, sc.minCoverage, sc.requestsPerSecond = 200, 2000, 0.95, 100
+	sc.pauseLength, sc.pausePeriod, sc.retrySlack, sc.connectionsPerReplica = 250, 6000, 430, 125
+	return sc
+}
+
+// callerDataCentres returns the data centres of the callers: those of the replicas, and
+// the others that have a daemon.
+func (sc *scenario) callerDataCentres() []string {
+	names := []string{"a", "b", "c"}
+	for _, dataCentre := range sc.dataCentres {
+		if !slices.Contains(names, dataCentre) {
+			names = append(names, dataCentre)
+		}
+	}
+	return names
+}
+
 // callerStats counts outcomes as callers see them.
 type callerStats struct {
 	requests, inTime, late, refusedOnce, refused, failed int
 	benefit                                              float64 // sum over the requests, each 0 to 1
-	sent, remote, dialled                                int     // attempts
+	sent, remote, dialled, hedged, shed                  int     // attempts
 }
 
 func (c callerStats) String() string {
 	n := float64(max(1, c.requests))
 	return fmt.Sprintf("requests %d benefit %.3f in time %.3f late %.3f refused %.3f (once %.3f) failed %.3f; "+
-		"attempts per request %.2f remote %.3f dialled %.3f",
+		"attempts per request %.2f hedged %.2f shed %.2f remote %.3f dialled %.3f",
 		c.requests, c.benefit/n, float64(c.inTime)/n, float64(c.late)/n,
 		float64(c.refused)/n, float64(c.refusedOnce)/n, float64(c.failed)/n, float64(c.sent)/n,
+		float64(c.hedged)/n, float64(c.shed)/n,
 		float64(c.remote)/float64(max(1, c.sent)), float64(c.dialled)/float64(max(1, c.sent)))
 }
 
@@ -233,7 +262,7 @@
 // daemonFor picks a daemon for a caller. Each data centre has the same number of
 // callers; one without a daemon sends its callers to any daemon.
 func (s *simulation) daemonFor() *simDaemon {
-	names := []string{"a", "b", "c"}
+	names := s.scenario.callerDataCentres()
 	dataCentre := names[s.random.IntN(len(names))]
 	var local []*simDaemon
 	for _, d := range s.daemons {
@@ -316,11 +345,19 @@
 				number := action.Attempt()
 				target := s.find(action.Replica().Entry().ID())
 				stats.sent++
+				if action.Purpose() == Hedge {
+					stats.hedged++
+				}
 				if target.dataCentre != d.dataCentre {
 					stats.remote++
 				}
 				x := &simExchange{daemon: d, replica: target}
-				x.onEnd = func(result replica.Result) { perform(q.RecordResult(s.now, number, result)) }
+				x.onEnd = func(result replica.Result) {
+					if result == replica.Shed {
+						stats.shed++
+					}
+					perform(q.RecordResult(s.now, number, result))
+				}
 				exchanges[number] = x
 				if d.idle[target] > 0 {
 					d.idle[target]--
@@ -496,6 +533,8 @@
 		all.sent += c.sent
 		all.remote += c.remote
 		all.dialled += c.dialled
+		all.hedged += c.hedged
+		all.shed += c.shed
 	}
 	return all
 }
--- a/core/quota/window.go
+++ b/core/quota/window.go
@@ -3,8 +3,9 @@
 import "github.com/lovagegap/lovagegap/core/clock"
 
 const (
-	windowSlots      = 20   // slots into which the length of a window is divided
-	minSlackFraction = 0.25 // fraction of the slack that is allowed at the start of the process
+	windowSlots      = 20           // slots into which the length of a window is divided
+	minSlackFraction = 0.25         // fraction of the slack that is allowed at the start of the process
+	minRateSpan      = clock.Second // least time over which RegularRate averages
 )
 
 // WindowBudget is one daemon's share of a fleet-wide budget of extra requests. In
@@ -14,14 +15,16 @@
 // budget. The zero value allows no extra requests. A WindowBudget is not safe for
 // concurrent use.
 type WindowBudget struct {
-	ratio       float64              // extra requests per regular request
-	slack       float64              // this daemon's share, in extra requests per window
-	length      clock.Millis         // length of the window
-	startedAt   clock.Millis         // start of the process
-	currentSlot int64                // number of the newest slot
-	regular     [windowSlots + 1]int // regular requests by slot number modulo the length
-	extra       [windowSlots + 1]int // extra requests, likewise
-	sums        struct{ regular, extra int }
+	ratio     float64      // extra requests per regular request
+	slack     float64      // this daemon's share, in extra requests per window
+	length    clock.Millis // length of the window
+	startedAt clock.Millis // start of the process
+
+	firstRegularAt clock.Millis         // first regular request, or 0
+	currentSlot    int64                // number of the newest slot
+	regular        [windowSlots + 1]int // regular requests by slot number modulo the length
+	extra          [windowSlots + 1]int // extra requests, likewise
+	sums           struct{ regular, extra int }
 }
 
 // Configure sets the ratio of extra to regular requests, this daemon's share of
@@ -35,10 +38,24 @@
 // RecordRegular counts a regular request at now.
 func (w *WindowBudget) RecordRegular(now clock.Millis) {
 	w.advance(now)
+	if w.firstRegularAt == 0 {
+		w.firstRegularAt = now
+	}
 	w.regular[w.currentSlot%int64(len(w.regular))]++
 	w.sums.regular++
 }
 
+// RegularRate returns the number of regular requests per second in the window, or since
+// the first one if that is later.
+func (w *WindowBudget) RegularRate(now clock.Millis) float64 {
+	w.advance(now)
+	span := min(w.length, max(now-w.firstRegularAt, minRateSpan))
+	if span <= 0 {
+		return 0
+	}
+	return float64(w.sums.regular) / float64(span/clock.Second)
+}
+
 // Remaining returns how many extra requests are allowed now. It is negative after
 // RecordExtra exceeded the budget.
 func (w *WindowBudget) Remaining(now clock.Millis) float64 {
--- a/entry/daemon/harness_test.go
+++ b/entry/daemon/harness_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"os/signal"
+	"path/filepath"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,7 @@
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/settings"
+	"github.com/lovagegap/lovagegap/entry/logs"
 	"github.com/lovagegap/lovagegap/entry/operators"
 	"github.com/lovagegap/lovagegap/lovagegap-standin/deployment"
 	"github.com/lovagegap/lovagegap/lovagegap-standin/platform"
@@ -69,12 +71,37 @@
 	return 0
 }
 
+// logDirectoryVariable is the environment variable whose value is the directory to
+// which the daemons of the tests write their logs, if it is set.
+const logDirectoryVariable = "LOVAGEGAPD_TEST_LOGS"
+
+// openLog returns the logger of a daemon under test and a function that closes it.
+func openLog(name string) (logr.Logger, func()) {
+	directory := os.Getenv(logDirectoryVariable)
+	if directory == "" {
+		return logr.Discard(), func() {}
+	}
+	file, err := os.OpenFile(filepath.Join(directory, fmt.Sprintf("%s-%d.log", name, os.Getpid())),
+		os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return logr.Discard(), func() {}
+	}
+	sink := logs.New(file)
+	sink.Configure(logs.Options{Level: 1})
+	return sink.Logger(), func() {
+		sink.Close()
+		_ = file.Close()
+	}
+}
+
 // runWithRetry runs a daemon and retries while its addresses are in use. A process
 // that another test starts inherits the test's listeners until it executes its own
 // program, so an address may stay in use for a moment after its listener was closed.
 func runWithRetry(ctx context.Context, configuration Configuration) error {
+	log, closeLog := openLog(configuration.name)
+	defer closeLog()
 	for began := time.Now(); ; time.Sleep(20 * time.Millisecond) {
-		err := Run(ctx, configuration, logr.Discard())
+		err := Run(ctx, configuration, log)
 		if !errors.Is(err, ErrListen) || time.Since(began) > waitTimeout {
 			return err
 		}
@@ -496,6 +523,7 @@
 		Ran     string `json:"ran"`
 		Address string `json:"address"`
 	} `json:"error"`
+	Answer *answer `json:"answer"` // of a refusal below the minimum coverage
 }
 
 // checkComplete returns an error unless the reply is an answer that covers all shards.
@@ -503,6 +531,8 @@
 	switch {
 	case err != nil:
 		return err
+	case status != http.StatusOK && a.Answer != nil:
+		return fmt.Errorf("status %d: %s %s: %v", status, a.Error.Code, a.Error.Message, a.Answer.Explain.Steps)
 	case status != http.StatusOK:
 		return fmt.Errorf("status %d: %s %s", status, a.Error.Code, a.Error.Message)
 	case a.Partial || a.Coverage.Covered != a.Coverage.Asked || len(a.Parts) != a.Coverage.Asked:
