Unexpected errors, stale first copies, NaN of peers; fuzz targets for decoders

Cause: a panic in the state machine of one request ended the process (an index of -1 did, before). A daemon that restarts without the store took the copy of the first peer that it asked, which may be long cut off and list replicas that left. An observation with NaN passed the clamps.

Change: a panic ends its request with 502 and is logged and counted (requests.panics). Without a copy a daemon asks three peers; the newest revision counts. NaN is no evidence.

--- a/core/replica/observation.go
+++ b/core/replica/observation.go
@@ -30,11 +30,17 @@
 }
 
 // NewObservation returns an observation received from a peer. It clamps
-// slowness to between 1 and maxLatencyRatio, and failureRate to between 0 and 1.
+// slowness to between 1 and maxLatencyRatio, and failureRate to between 0 and 1. NaN is
+// no evidence.
 func NewObservation(id string, slowness, failureRate float64) Observation {
-	return Observation{
-		id: id, slowness: min(max(slowness, 1), maxLatencyRatio), failureRate: min(max(failureRate, 0), 1),
+	o := Observation{id: id, slowness: 1}
+	if slowness > 1 {
+		o.slowness = min(slowness, maxLatencyRatio)
 	}
+	if failureRate > 0 {
+		o.failureRate = min(failureRate, 1)
+	}
+	return o
 }
 
 // AsLeaving returns a copy with the statement of the replica that its run with the
--- /dev/null
+++ b/entry/frontend/fuzz_test.go
@@ -0,0 +1,70 @@
+package frontend
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/replica"
+	"github.com/lovagegap/lovagegap/core/route"
+	"github.com/lovagegap/lovagegap/entry/exchange"
+	"github.com/lovagegap/lovagegap/entry/routing"
+	"github.com/lovagegap/lovagegap/entry/telemetry"
+)
+
+type serving struct{}
+
+func (serving) Leaving() bool { return false }
+
+// FuzzCallerRequest guards against a head or body of a caller that ends the daemon, or
+// that leaves the caller without a status.
+func FuzzCallerRequest(f *testing.F) {
+	for _, seed := range []string{
+		"GET /a/b?c=d HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\nDeadline-Ms: 5\r\n\r\n",
+		"POST /a/ HTTP/1.1\r\nHost: h.example\r\nDeadline-Ms: NaN\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+		"POST /a/ HTTP/1.1\r\nHost: h.example\r\nDeadline-Ms: 1e400\r\nContent-Length: 99999\r\n\r\nx",
+		"OPTIONS * HTTP/1.1\r\nHost: h.example\r\n\r\n", "GET http://h.example/a/%2f%zz HTTP/1.1\r\nHost: other\r\n\r\n",
+		"CONNECT h.example:80 HTTP/1.1\r\nHost: h.example:80\r\nConnection: Request-Id, Keep-Alive\r\n\r\n",
+	} {
+		f.Add([]byte(seed))
+	}
+	engine := routing.New(routing.Dependencies{
+		Log: logr.Discard(), DataCentre: "x", Random: rand.New(rand.NewPCG(1, 2)), Meter: &telemetry.Routes{},
+		Budget: replica.BudgetPolicy{Window: clock.Second},
+		Names:  exchange.HeaderNames{RequestID: "Request-Id", Deadline: "Deadline-Ms"},
+	})
+	r, err := route.NewRoute(route.Spec{
+		Name: "r", Host: "h.example", Prefix: "/a/", Timeout: 100, Objective: 50, MaxAttempts: 1, Splits: []route.Split{route.NewSplit("s", 1)},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	table, err := route.NewTable(1, []*route.Route{r}, []route.Service{route.NewService("s", 1, 0)}, route.NewLimits(4096, 1000, 100, 100))
+	if err != nil {
+		f.Fatal(err)
+	}
+	engine.ApplyUpdates([]routing.StoreUpdate{{Table: table}})
+	h := New(engine, HeaderNames{RequestID: "Request-Id", Deadline: "Deadline-Ms", ExpectInstance: "Expect-Instance"}, serving{})
+	f.Fuzz(func(t *testing.T, text []byte) {
+		request, err := http.ReadRequest(bufio.NewReader(io.LimitReader(bytes.NewReader(text), maxHeaderBytes)))
+		if err != nil {
+			return
+		}
+		if left := h.newRequest(request.Clone(t.Context()), nil).Deadline; !(left >= 0) || math.IsNaN(float64(left)) {
+			t.Fatalf("deadline %v", left)
+		}
+		recorder := httptest.NewRecorder()
+		h.ServeHTTP(recorder, request)
+		if recorder.Code < 400 {
+			t.Fatalf("status %d without a replica", recorder.Code)
+		}
+	})
+}
--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/fleet"
 	"github.com/lovagegap/lovagegap/core/mirror"
 	"github.com/lovagegap/lovagegap/entry/routing"
 )
@@ -246,22 +247,39 @@
 		s.mu.Lock()
 		now := s.now()
 		due := s.reader.StartPeerRequest(now)
-		after := s.mirror.Revision()
+		count := 1
 		if !s.mirror.Complete() {
-			after = 0
+			count = firstCopySources
 		}
 		s.applyChanges(s.mirror.Expire(now))
 		s.mu.Unlock()
 		if !due {
 			continue
 		}
-		if peers := s.gateway.tracker.LinkedPeers(); len(peers) > 0 {
-			s.requestFromPeer(ctx, string(peers[s.random.IntN(len(peers))]), after)
-		}
+		peers := s.gateway.tracker.LinkedPeers()
+		s.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		s.requestFromPeers(ctx, peers[:min(count, len(peers))])
 	}
 }
 
-func (s *mirrorSyncer) requestFromPeer(ctx context.Context, peer string, after uint64) {
+func (s *mirrorSyncer) requestFromPeers(ctx context.Context, peers []fleet.ID) {
+	for _, peer := range peers {
+		s.requestFromPeer(ctx, string(peer))
+	}
+}
+
+// firstCopySources is the number of peers that a daemon without a copy asks. One of them
+// may have been cut off from the store for long, and its copy may list replicas that
+// left since. The later requests transfer only what is newer.
+const firstCopySources = 3
+
+func (s *mirrorSyncer) requestFromPeer(ctx context.Context, peer string) {
+	s.mu.Lock()
+	after := s.mirror.Revision()
+	if !s.mirror.Complete() {
+		after = 0
+	}
+	s.mu.Unlock()
 	reply, err := fetchMirror(ctx, s.gateway.config.Key, peer,
 		mirrorRequest{Sender: s.gateway.config.PeerAddress, AfterRevision: after})
 	if err != nil {
--- a/entry/routing/call.go
+++ b/entry/routing/call.go
@@ -2,9 +2,12 @@
 
 import (
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/dispatch"
 	"github.com/lovagegap/lovagegap/core/replica"
@@ -43,6 +46,7 @@
 	e := c.engine
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	defer c.recoverPanic()
 	now := e.deps.Clock.Now()
 	c.startedAt = now
 	c.configurationVersion = e.table.Version()
@@ -125,6 +129,7 @@
 	e := c.engine
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	defer c.recoverPanic()
 	c.replies[attempt] = reply
 	now := e.deps.Clock.Now()
 	e.deps.Meter.AttemptEnded(target.Entry().Service(), result.String())
@@ -169,10 +174,39 @@
 	e := c.engine
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	defer c.recoverPanic()
 	now := e.deps.Clock.Now()
 	c.perform(now, c.machine.Tick(now))
 }
 
+// recoverPanic ends the request if handling one of its events panics, so that the others
+// of the daemon go on. The request may have run. It must be deferred, and the caller
+// holds the lock.
+func (c *call) recoverPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	e := c.engine
+	e.panics++
+	e.deps.Log.Error(errors.Newf("%v", cause), "panic in a request; only this request ends", "request", c.request.ID,
+		"route", c.route.Name(), "stack", string(debug.Stack()))
+	if c.finished {
+		return
+	}
+	c.finished = true
+	delete(e.running, c)
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+	for _, x := range c.exchanges {
+		if c.route.Idempotent() {
+			x.Abandon()
+		}
+	}
+	c.done <- Answer{status: http.StatusBadGateway, reason: "internal error"}
+}
+
 // cancel handles a caller that left before there was an answer.
 func (c *call) cancel() {
 	e := c.engine
--- a/entry/routing/delegation.go
+++ b/entry/routing/delegation.go
@@ -147,6 +147,7 @@
 	e := c.engine
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	defer c.recoverPanic()
 	now := e.deps.Clock.Now()
 	for _, service := range part.Covered {
 		e.deps.Meter.AttemptEnded(service, "delegated")
--- a/entry/routing/metrics.go
+++ b/entry/routing/metrics.go
@@ -9,6 +9,7 @@
 		"requests.running":            int64(len(e.running)),
 		"connections.opened":          e.client.Opened(),
 		"datacentres.out":             int64(len(e.outOfService)),
+		"requests.panics":             e.panics,
 		"replies.memory":              e.client.ReplyMemory(),
 		"replies.retry-after-ignored": e.client.IgnoredRetryAfters(),
 	}
--- a/entry/routing/notice_test.go
+++ b/entry/routing/notice_test.go
@@ -133,3 +133,33 @@
 	require.Len(t, part.Leaving, 1)
 	assert.Equal(t, spec.ID, part.Leaving[0].ID())
 }
+
+// panickingMeter panics when an attempt of a service ends.
+type panickingMeter struct {
+	noMeter
+	service string
+}
+
+func (m panickingMeter) AttemptEnded(service, _ string) {
+	if service == m.service {
+		panic("unexpected result")
+	}
+}
+
+// Guards against an unexpected error in one request that ends the process, and with it
+// all other requests, or that leaves its caller without an answer.
+func TestPanicEndsOnlyItsRequest(t *testing.T) {
+	l := newLoggedEngine(t, replica.BudgetPolicy{})
+	l.deps.Meter = panickingMeter{service: "s0"}
+	l.configure(singleRoute(true))
+	l.startReplica("s0", "i-0", replyGood)
+	answer := l.serve(t.Context(), "r1")
+	assert.Equal(t, http.StatusBadGateway, answer.Status(), "it may have run")
+	assert.EqualValues(t, 1, l.Metrics()["requests.panics"])
+	assert.Zero(t, l.Running())
+	line := l.findLine("panic in a request; only this request ends")
+	require.NotNil(t, line)
+	assert.Equal(t, "r1", line["request"])
+	l.deps.Meter = noMeter{}
+	assert.Equal(t, http.StatusOK, l.serve(t.Context(), "r2").Status(), "the engine goes on")
+}
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -75,6 +75,7 @@
 	crashes           crashTracker
 	stopAt            clock.Millis // when the daemon exits, or 0 if no stop is planned
 	storeViewTime     clock.Millis // time up to which changes of the store are known
+	panics            int64        // events whose handling panicked
 }
 
 // New returns an engine without a configuration. It refuses requests until
