core/dispatch: overload from exchanges that wait; why a hedge was withheld

Change: hedges stop if more than half of the recent exchanges waited for over 0.35 of the objective or were shed; the backlog counts only where this daemon sends the shard at least a request in 150 ms. The backlog is again that of one shard, over 8 requests.

--- a/core/dispatch/admission.go
+++ b/core/dispatch/admission.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/replica"
 )
 
 const (
@@ -24,6 +25,11 @@
 	// backlog prevents hedges and repeats at replicas that have shed, since they
 	// would only lengthen the queue.
 	hedgeBacklogFraction = 0.35
+	// maxWaitingFraction is the fraction of exchanges that wait for so long above which
+	// hedges and such repeats stop.
+	maxWaitingFraction = 0.5
+	// waitingStep is the weight of one exchange in that fraction.
+	waitingStep = 1.0 / 64
 	// refusalRateStep is the weight of one request in the refusal rate.
 	refusalRateStep = 0.02
 	// minAdmissionProbability bounds the time after which a caller may retry while
@@ -35,31 +41,40 @@
 // services. The zero value is ready for use. It is not safe for concurrent use.
 type Admission struct {
 	refusalRate float64 // recent fraction of requests that were refused, 0 to 1
+	// waitingFraction is the recent fraction of exchanges that waited at their replica
+	// for longer than hedgeBacklogFraction of the objective, 0 to 1.
+	waitingFraction float64
+}
+
+// recordWait records whether an exchange waited at its replica, which is known if the
+// replica has answered or shed it, or has not answered for so long. The exchanges of the
+// shards of one request show an overload sooner than the estimate from this daemon's
+// share of the load, while a few slow replicas do not pass for one.
+func (q *Request) recordWait(age clock.Millis, result replica.Result) {
+	late := age-q.serviceTime > q.route.Objective()*hedgeBacklogFraction
+	sample := 0.0
+	switch {
+	case q.delegated:
+		return
+	case result == replica.Shed, late && (result == replica.OK || result == replica.Abandoned):
+		sample = 1
+	case result != replica.OK:
+		return
+	}
+	q.admission.waitingFraction += (sample - q.admission.waitingFraction) * waitingStep
 }
 
 // queueWait estimates how long a request waits for slots of replicas. An answer
 // may leave out the shards with the longest backlogs.
 func (q *Request) queueWait(now clock.Millis) clock.Millis {
 	backlogs := make([]clock.Millis, len(q.shards))
-	groupWork := q.groupWork(now)
 	for i := range q.shards {
-		backlogs[i] = q.shards[i].pool.Backlog(now, groupWork)
+		backlogs[i] = q.shards[i].pool.Backlog(now)
 	}
 	slices.Sort(backlogs)
 	return backlogs[q.requiredShards()-1]
 }
 
-// groupWork returns the mean of this daemon's average work over the shards. A daemon of
-// a large fleet sends a shard a request too rarely to estimate the load of the shard from
-// its own requests there, but all shards of a route get the same requests.
-func (q *Request) groupWork(now clock.Millis) clock.Millis {
-	sum := clock.Millis(0)
-	for i := range q.shards {
-		sum += q.shards[i].pool.AverageWork(now)
-	}
-	return sum / clock.Millis(len(q.shards))
-}
-
 // admit reports whether the request is admitted, and otherwise the time after which
 // the caller may retry. That time grows with the refusal rate, so that returning
 // requests do not arrive in another overload.
@@ -85,7 +100,10 @@
 	return false, (excess + q.serviceTime) / clock.Millis(probability)
 }
 
-// backlogged reports whether another attempt would only lengthen the shard's queue.
-func (q *Request) backlogged(now clock.Millis, s *shard) bool {
-	return s.pool.Backlog(now, q.groupWork(now)) > q.route.Objective()*hedgeBacklogFraction
+// overloaded reports whether another attempt for the shard would only lengthen the
+// queues: most exchanges wait at their replicas, or the shard has a backlog. A daemon of
+// a large fleet sends a shard too few requests to know its backlog.
+func (q *Request) overloaded(now clock.Millis, s *shard) bool {
+	return q.admission.waitingFraction > maxWaitingFraction ||
+		(s.pool.KnowsLoad(now) && s.pool.Backlog(now) > q.route.Objective()*hedgeBacklogFraction)
 }
--- a/core/dispatch/delegation_test.go
+++ b/core/dispatch/delegation_test.go
@@ -193,12 +193,12 @@
 	f := newDelegationFixture(t, 4, "b", "c")
 	f.start()
 	pool := f.set.Pool("s0")
-	assert.Positive(t, pool.Backlog(1, 0))
+	assert.Positive(t, pool.Backlog(1))
 	f.reportCovered(30, false, "s0")
-	assert.Positive(t, f.set.Pool("s1").Backlog(31, 0))
+	assert.Positive(t, f.set.Pool("s1").Backlog(31))
 	f.reportCovered(40, true, "s1", "s2", "s3")
 	for _, service := range []string{"s0", "s1", "s2", "s3"} {
-		assert.Less(t, f.set.Pool(service).Backlog(5000, 0), clock.Millis(0.001), service)
+		assert.Less(t, f.set.Pool(service).Backlog(5000), clock.Millis(0.001), service)
 	}
 }
 
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -150,9 +150,6 @@
 	q.attempts = make([]attempt, 0, len(services)+2)
 	for i, service := range services {
 		q.shards[i] = shard{pool: res.Set.Pool(service), failedReply: -1, winner: -1}
-		if !res.Delegated {
-			q.shards[i].pool.SetGroupSize(len(services))
-		}
 	}
 	q.openShards = len(q.shards)
 	return q
@@ -245,6 +242,7 @@
 	if result == replica.OK {
 		q.profile.Record(now, now-a.startedAt)
 	}
+	q.recordWait(now-a.startedAt, result)
 	if a.abandoned || q.finished {
 		return nil
 	}
--- a/core/dispatch/shard.go
+++ b/core/dispatch/shard.go
@@ -21,7 +21,8 @@
 	failedReply     int                // last attempt answered with an error of the replica, or -1
 	winner          int                // attempt or delegation that covered the shard, or -1
 	failed          bool
-	reported        bool // to the daemon that delegated the request
+	reported        bool   // to the daemon that delegated the request
+	withheld        string // reason for which the last hedge that was due was withheld, or ""
 	hedgeAt         clock.Millis
 	retryAt         clock.Millis
 }
@@ -119,7 +120,7 @@
 func (q *Request) retryOrFail(now clock.Millis, i int) {
 	s := &q.shards[i]
 	if !q.delegated && s.reached >= q.attemptLimit(s) && s.shed == s.reached && s.reached < maxSheds &&
-		len(s.shedBy) > 0 && !q.backlogged(now, s) {
+		len(s.shedBy) > 0 && !q.overloaded(now, s) {
 		// The attempts are used up, but none has run the request. The route
 		// allows no further replicas, so the same ones are retried.
 		s.allowShedReplicas()
@@ -219,6 +220,15 @@
 	}
 }
 
+// Reasons for which a hedge that is due is withheld, as the log shows them.
+const (
+	withheldTooLate  = "too late"
+	withheldOverload = "overload"
+	withheldReplica  = "no replica"
+	withheldOverdue  = "other replica overdue"
+	withheldNoBudget = "budget"
+)
+
 // hedge makes a second attempt for shard i, unless it is unlikely to answer in
 // time or to help, or the retry budget is exhausted.
 func (q *Request) hedge(now clock.Millis, i int) {
@@ -228,14 +238,40 @@
 		return
 	}
 	s.hedgeAt = now + recheckInterval
-	if now+q.expectedLatency*hedgeTimeFraction > q.answerBy || q.backlogged(now, s) {
-		return
-	}
 	r, err := q.pickReplica(now, s)
-	if err != nil || r.Held(now) || r.Overdue(now, q.expectedLatency) || !s.pool.Budget().Take(now, q.budgetReserve(now)) {
-		return
+	switch {
+	case now+q.expectedLatency*hedgeTimeFraction > q.answerBy:
+		s.withheld = withheldTooLate
+	case q.overloaded(now, s):
+		s.withheld = withheldOverload
+	case err != nil || r.Held(now):
+		s.withheld = withheldReplica
+	case r.Overdue(now, q.expectedLatency):
+		s.withheld = withheldOverdue
+	case !s.pool.Budget().Take(now, q.budgetReserve(now)):
+		s.withheld = withheldNoBudget
+	default:
+		s.withheld = ""
+		q.send(now, i, r, Hedge)
+	}
+}
+
+// WithheldHedge is a shard that has no answer and whose hedge was withheld.
+type WithheldHedge struct {
+	Service string `json:"service"`
+	Reason  string `json:"reason"`
+}
+
+// WithheldHedges returns the shards without an answer whose hedge was withheld when it
+// was last due, for logs.
+func (q *Request) WithheldHedges() []WithheldHedge {
+	var found []WithheldHedge
+	for i := range q.shards {
+		if s := &q.shards[i]; s.winner < 0 && s.withheld != "" {
+			found = append(found, WithheldHedge{Service: s.pool.Service(), Reason: s.withheld})
+		}
 	}
-	q.send(now, i, r, Hedge)
+	return found
 }
 
 // mayHedge reports whether the shard may be hedged: on an idempotent route and
--- a/core/replica/pool.go
+++ b/core/replica/pool.go
@@ -292,23 +292,8 @@
 	warmUpRate      float64 // requests per second of the fleet to a cold replica; 0 for no limit
 	budget          quota.WindowBudget
 	work            clock.Millis // service time of this daemon's unfinished requests
-	groupSize       int          // pools that the requests of this one are also sent to, with it
-	shortAverage    movingAverage
-	longAverage     movingAverage
-}
-
-// movingAverage is an exponential moving average over time.
-type movingAverage struct {
-	value clock.Millis
-	at    clock.Millis // instant up to which value is computed
-}
-
-// advance includes a constant sample up to now.
-func (a *movingAverage) advance(now, sample, timeConstant clock.Millis) {
-	if now > a.at {
-		a.value += (sample - a.value) * clock.Millis(1-math.Exp(-float64((now-a.at)/timeConstant)))
-		a.at = now
-	}
+	averageWork     clock.Millis // moving average of work
+	averageWorkAt   clock.Millis // instant up to which averageWork is computed
 }
 
 // Configure sets the fleet-wide limits for each replica: connectionLimit is the
@@ -342,57 +327,47 @@
 const defaultMaxConnections = 1 << 10
 
 const (
-	// minAveragingTime is the least time constant of the averages of this daemon's work,
-	// which stand in for the work of each other daemon.
+	// minAveragingTime is the least time constant of the moving average of this daemon's
+	// work, which stands in for the work of each other daemon.
 	minAveragingTime = 150 * clock.Millisecond
-	// averagedRequests is the number of requests over which the work is averaged. With
-	// fewer, one slow request would pass for one of each daemon.
+	// averagedRequests is the number of this daemon's requests over which the work is
+	// averaged. With fewer, one slow request would pass for one of each daemon.
 	averagedRequests = 8
 	maxAveragingTime = 10 * clock.Second
+	minAveragedRate  = averagedRequests / float64(maxAveragingTime/clock.Second) // requests per second
 )
 
-// SetGroupSize sets the number of pools to each of which a request is sent, with this
-// one among them: the number of shards of its route. The work of such a group is
-// averaged over less time than that of one pool, since the group gets more requests.
-func (p *Pool) SetGroupSize(size int) { p.groupSize = size }
-
 // AddWork adds work to the pool: the service time of a request that was sent, or its
 // negative once the request has ended.
 func (p *Pool) AddWork(now, work clock.Millis) {
-	p.updateAverages(now)
+	p.updateAverageWork(now)
 	p.work = max(0, p.work+work)
 }
 
-// updateAverages brings the moving averages up to now.
-func (p *Pool) updateAverages(now clock.Millis) {
-	if now <= p.longAverage.at {
+// updateAverageWork brings the moving average up to now.
+func (p *Pool) updateAverageWork(now clock.Millis) {
+	if now <= p.averageWorkAt {
 		return
 	}
-	rate := p.budget.RegularRate(now)
-	p.shortAverage.advance(now, p.work, averagingTime(rate*float64(max(1, p.groupSize))))
-	p.longAverage.advance(now, p.work, averagingTime(rate))
-}
-
-// averagingTime returns the time in which averagedRequests are sent at a rate per second.
-func averagingTime(rate float64) clock.Millis {
-	return min(maxAveragingTime, max(minAveragingTime, clock.Second*clock.Millis(averagedRequests/max(rate, 0.001))))
+	rate := max(minAveragedRate, p.budget.RegularRate(now))
+	time := max(minAveragingTime, clock.Second*clock.Millis(averagedRequests/rate))
+	p.averageWork += (p.work - p.averageWork) * clock.Millis(1-math.Exp(-float64((now-p.averageWorkAt)/time)))
+	p.averageWorkAt = now
 }
 
-// AverageWork returns the average work of this daemon at the pool over the time in which
-// its group gets averagedRequests. The mean over the pools of the group estimates the
-// work of any other daemon.
-func (p *Pool) AverageWork(now clock.Millis) clock.Millis {
-	p.updateAverages(now)
-	return p.shortAverage.value
+// KnowsLoad reports whether this daemon sends enough requests to the pool to estimate
+// its momentary load from them: at least one in minAveragingTime.
+func (p *Pool) KnowsLoad(now clock.Millis) bool {
+	return p.budget.RegularRate(now)*float64(minAveragingTime/clock.Second) >= 1
 }
 
 // Backlog estimates how long a new request waits for a slot: the unfinished work of
-// all daemons divided by the usable slots. The work of each other daemon is not known.
-// It is assumed to equal groupWork, the mean of AverageWork over the group, or the
-// average of this daemon's own work at the pool if that is greater.
-func (p *Pool) Backlog(now, groupWork clock.Millis) clock.Millis {
-	p.updateAverages(now)
-	work := p.work + max(groupWork, p.longAverage.value)*clock.Millis(p.set.daemonCount-1)
+// all daemons divided by the usable slots. The work of each other daemon is not
+// known, and is assumed to equal the average of this one's. A daemon of a large fleet
+// sends few requests to the pool, so the estimate follows the load within seconds.
+func (p *Pool) Backlog(now clock.Millis) clock.Millis {
+	p.updateAverageWork(now)
+	work := p.work + p.averageWork*clock.Millis(p.set.daemonCount-1)
 	if work <= 0 {
 		return 0
 	}
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -214,13 +214,13 @@
 	for i := range 8 {
 		s.get("one").Begin(clock.Millis(i), expectedLatency)
 	}
-	assert.Greater(t, s.Pool("s").Backlog(10, s.Pool("s").AverageWork(10)), 2*expectedLatency)
+	assert.Greater(t, s.Pool("s").Backlog(10), 2*expectedLatency)
 	for i := range 8 {
 		s.get("one").End(20, clock.Millis(i), Abandoned, expectedLatency)
 	}
 	// The average covers the time of the last few requests.
-	assert.Less(t, s.Pool("s").Backlog(3000, s.Pool("s").AverageWork(3000)), expectedLatency/100)
-	assert.Less(t, s.Pool("s").Backlog(40_000, s.Pool("s").AverageWork(40_000)), clock.Millis(0.01))
+	assert.Less(t, s.Pool("s").Backlog(3000), expectedLatency/100)
+	assert.Less(t, s.Pool("s").Backlog(40_000), clock.Millis(0.01))
 }
 
 // Guards against requests to the address of a departed replica that another one
--- a/entry/routing/trace.go
+++ b/entry/routing/trace.go
@@ -79,6 +79,11 @@
 	if len(shards) > 0 {
 		values = append(values, "missing", shards)
 	}
+	if c.machine != nil {
+		if withheld := c.machine.WithheldHedges(); len(withheld) > 0 {
+			values = append(values, "withheldHedges", withheld[:min(len(withheld), maxLoggedExchanges)])
+		}
+	}
 	e.deps.Log.V(level).Info(message, append(values, "exchanges", c.notableExchanges(elapsed))...)
 }
 
