--- a/core/dispatch/admission.go
+++ b/core/dispatch/admission.go
@@ -27,7 +27,7 @@
 	hedgeBacklogFraction = 0.35
 	// maxWaitingFraction is the fraction of exchanges that wait for so long above which
 	// hedges and such repeats stop.
-	maxWaitingFraction = 0.4
+	maxWaitingFraction = 0.3
 	// The weight of one exchange in that fraction is that of waitingSamples requests to one
 	// replica, or of waitingRequests requests to many shards.
 	waitingSamples  = 8
@@ -49,16 +49,17 @@
 }
 
 // recordWait records whether an exchange waited at its replica, which is known if the
-// replica has answered or shed it, or has not answered for so long. The exchanges of the
-// shards of one request show an overload sooner than the estimate from this daemon's
-// share of the load, while a few slow replicas do not pass for one.
+// replica has answered it, or has not for so long. The exchanges of the shards of one
+// request show an overload sooner than the estimate from this daemon's share of the
+// load, while a few slow replicas do not pass for one. A replica may shed without being
+// full, so that is no sign.
 func (q *Request) recordWait(age clock.Millis, result replica.Result) {
 	late := age-q.serviceTime > q.route.Objective()*hedgeBacklogFraction
 	sample := 0.0
 	switch {
 	case q.delegated:
 		return
-	case result == replica.Shed, late && (result == replica.OK || result == replica.Abandoned):
+	case late && (result == replica.OK || result == replica.Abandoned):
 		sample = 1
 	case result != replica.OK:
 		return
