--- a/entry/routing/notice_test.go
+++ b/entry/routing/notice_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -163,3 +164,31 @@
 	l.deps.Meter = noMeter{}
 	assert.Equal(t, http.StatusOK, l.serve(t.Context(), "r2").Status(), "the engine goes on")
 }
+
+// Guards against a line of a request whose time limit cannot be seen in it: the limit is
+// the smaller one of the caller's deadline and the route's timeout.
+func TestLogLineHasTimeoutOfRoute(t *testing.T) {
+	l := newLoggedEngine(t, replica.BudgetPolicy{})
+	l.configure(singleRoute(true))
+	l.serve(t.Context(), "r1")
+	line := l.findLine("request not served")
+	require.NotNil(t, line)
+	assert.Equal(t, "2400ms", fmt.Sprint(line["timeout"]))
+	assert.NotEmpty(t, line["deadline"])
+}
+
+// Guards against a shard that is missing from an answer without a trace of why no other
+// replica was asked: the line names the shards whose hedge was withheld, and the reason.
+func TestLogLineNamesWithheldHedges(t *testing.T) {
+	l := newLoggedEngine(t, replica.BudgetPolicy{})
+	l.configure(shardedRoute(2, 0.5))
+	l.startReplica("s0", "i-0", replyGood)
+	l.startReplica("s1", "i-1", replyAfter(3*time.Second))
+	l.startReplica("s1", "i-2", replyAfter(3*time.Second))
+	l.serve(t.Context(), "r1")
+	line := l.findLine("answer partial")
+	require.NotNil(t, line)
+	withheld := fmt.Sprint(line["withheldHedges"])
+	assert.Contains(t, withheld, "s1")
+	assert.Contains(t, withheld, "budget")
+}
--- a/entry/routing/trace.go
+++ b/entry/routing/trace.go
@@ -65,7 +65,7 @@
 	values := []any{
 		"request", c.request.ID, "route", c.route.Name(), "version", c.configurationVersion, "outcome", outcome,
 		"status", answer.status, "ms", truncateToTenths(elapsed), "objective", c.route.Objective(),
-		"deadline", truncateToTenths(c.request.Deadline),
+		"deadline", truncateToTenths(c.request.Deadline), "timeout", c.route.Timeout(),
 	}
 	if c.delegated {
 		values = append(values, "delegated", true)
