--- a/core/dispatch/admission.go
+++ b/core/dispatch/admission.go
@@ -113,7 +113,7 @@
 }
 
 // overloaded reports whether another attempt for the shard would only lengthen the
-// queues: most exchanges wait at their replicas, or the shard has a backlog. A daemon of
+// queues: many exchanges wait at their replicas, or the shard has a backlog. A daemon of
 // a large fleet sends a shard too few requests to know its backlog.
 func (q *Request) overloaded(now clock.Millis, s *shard) bool {
 	return q.admission.waitingFraction > maxWaitingFraction ||
--- a/core/dispatch/shard.go
+++ b/core/dispatch/shard.go
@@ -121,6 +121,7 @@
 // retryOrFail makes another attempt for shard i, schedules one, or fails the shard.
 func (q *Request) retryOrFail(now clock.Millis, i int) {
 	s := &q.shards[i]
+	s.starved = false
 	if !q.delegated && s.reached >= q.attemptLimit(s) && s.shed == s.reached && s.reached < maxSheds &&
 		len(s.shedBy) > 0 && !q.overloaded(now, s) {
 		// The attempts are used up, but none has run the request. The route
--- a/entry/frontend/fuzz_test.go
+++ b/entry/frontend/fuzz_test.go
@@ -28,18 +28,18 @@
 // that leaves the caller without a status.
 func FuzzCallerRequest(f *testing.F) {
 	for _, seed := range []string{
-		"GET /a/b?c=d HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\nDeadline-Ms: 5\r\n\r\n",
-		"POST /a/ HTTP/1.1\r\nHost: h.example\r\nDeadline-Ms: NaN\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
-		"POST /a/ HTTP/1.1\r\nHost: h.example\r\nDeadline-Ms: 1e400\r\nContent-Length: 99999\r\n\r\nx",
+		"GET /a/b?c=d HTTP/1.1\r\nHost: h.example\r\nId: r1\r\nLeft: 5\r\n\r\n",
+		"POST /a/ HTTP/1.1\r\nHost: h.example\r\nLeft: NaN\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+		"POST /a/ HTTP/1.1\r\nHost: h.example\r\nLeft: 1e400\r\nContent-Length: 99999\r\n\r\nx",
 		"OPTIONS * HTTP/1.1\r\nHost: h.example\r\n\r\n", "GET http://h.example/a/%2f%zz HTTP/1.1\r\nHost: other\r\n\r\n",
-		"CONNECT h.example:80 HTTP/1.1\r\nHost: h.example:80\r\nConnection: Request-Id, Keep-Alive\r\n\r\n",
+		"CONNECT h.example:80 HTTP/1.1\r\nHost: h.example:80\r\nConnection: Id, Keep-Alive\r\n\r\n",
 	} {
 		f.Add([]byte(seed))
 	}
 	engine := routing.New(routing.Dependencies{
 		Log: logr.Discard(), DataCentre: "x", Random: rand.New(rand.NewPCG(1, 2)), Meter: &telemetry.Routes{},
 		Budget: replica.BudgetPolicy{Window: clock.Second},
-		Names:  exchange.HeaderNames{RequestID: "Request-Id", Deadline: "Deadline-Ms"},
+		Names:  exchange.HeaderNames{RequestID: "Id", Deadline: "Left"},
 	})
 	r, err := route.NewRoute(route.Spec{
 		Name: "r", Host: "h.example", Prefix: "/a/", Timeout: 100, Objective: 50, MaxAttempts: 1, Splits: []route.Split{route.NewSplit("s", 1)},
@@ -52,7 +52,7 @@
 		f.Fatal(err)
 	}
 	engine.ApplyUpdates([]routing.StoreUpdate{{Table: table}})
-	h := New(engine, HeaderNames{RequestID: "Request-Id", Deadline: "Deadline-Ms", ExpectInstance: "Expect-Instance"}, serving{})
+	h := New(engine, HeaderNames{RequestID: "Id", Deadline: "Left", ExpectInstance: "Instance"}, serving{})
 	f.Fuzz(func(t *testing.T, text []byte) {
 		request, err := http.ReadRequest(bufio.NewReader(io.LimitReader(bytes.NewReader(text), maxHeaderBytes)))
 		if err != nil {
