--- a/core/rollout/platform.go
+++ b/core/rollout/platform.go
@@ -42,8 +42,10 @@
 	deadline       clock.Millis
 	tokenKnown     bool // token is current as of the last answer
 	token          uint64
-	needsWriteBack bool // the key holds an older document than the one in force
-	failures       int  // consecutive failed calls
+	tokenVersion   fleet.SettingsVersion // of the document that the key held at the token
+	writeVersion   fleet.SettingsVersion // of the document in the pending CompareAndSwap
+	needsWriteBack bool                  // the key holds an older document than the one in force
+	failures       int                   // consecutive failed calls
 	nextCallAt     clock.Millis
 }
 
@@ -82,12 +84,15 @@
 	action := Action{kind: Watch, token: w.token}
 	timeout := WatchTimeout + lostEventGrace
 	switch {
-	case !w.tokenKnown:
-		action = Action{kind: Read}
-		timeout = CallTimeout + lostEventGrace
-	case w.needsWriteBack:
+	case w.needsWriteBack && w.tokenKnown:
 		action = Action{kind: CompareAndSwap, token: w.token, document: r.current}
 		timeout = CallTimeout + lostEventGrace
+		w.writeVersion = r.settingsVersion
+	case !w.tokenKnown, isNewer(r.settingsVersion, w.tokenVersion):
+		// A newer document has come from a peer. If the platform was restored to the one
+		// at the token in the meantime, a watch would not return before its end.
+		action = Action{kind: Read}
+		timeout = CallTimeout + lostEventGrace
 	}
 	action.callID = r.nextCallID()
 	w.callID, w.pendingCall, w.deadline = action.callID, action.kind, now+timeout
@@ -127,9 +132,11 @@
 		w.tokenKnown = !wasWatch
 	case Written:
 		w.token, w.tokenKnown, w.needsWriteBack = e.token, true, false
+		w.tokenVersion = w.writeVersion
 		r.recordEvent(now, "wrote the newer document back to the platform")
 	case Value, WriteConflict:
 		w.token, w.tokenKnown = e.token, true
+		w.tokenVersion = e.document.SettingsVersion()
 		w.needsWriteBack = isNewer(r.settingsVersion, e.document.SettingsVersion())
 		if w.needsWriteBack {
 			w.nextCallAt = now + maxWriteBackDelay*clock.Millis(r.random.Float64())
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -71,6 +71,38 @@
 	}
 }
 
+// Guards against a platform that was restored to the document that a watcher saw last,
+// while newer ones came from peers: a watch from that token would not return before its
+// end, and the older document would stay at the platform for so long.
+func TestRestoreToDocumentOfTokenIsFound(t *testing.T) {
+	r := newRollout("a:1")
+	old, newer := NewDocument(1, "x", []byte("1")), NewDocument(3, "y", []byte("3"))
+	now := clock.Millis(0)
+	next := func() Action {
+		for ; now < 2*clock.Second; now += fleet.TickInterval {
+			if actions := r.Tick(now); len(actions) > 0 {
+				return actions[0]
+			}
+		}
+		require.Fail(t, "no call to the platform")
+		return Action{}
+	}
+	r.SetMembers(now, nil)
+	read := next()
+	require.Equal(t, Read, read.Kind())
+	r.HandlePlatformEvent(now, NewEvent(Value, read.CallID(), 7, old))
+	r.applyIfNewer(now, newer, "", "from a peer")
+
+	read = next()
+	require.Equal(t, Read, read.Kind(), "the platform holds the document of token 7 again")
+	r.HandlePlatformEvent(now, NewEvent(Value, read.CallID(), 7, old))
+	write := next()
+	require.Equal(t, CompareAndSwap, write.Kind())
+	assert.Equal(t, newer, write.Document())
+	r.HandlePlatformEvent(now, NewEvent(Written, write.CallID(), 8, Document{}))
+	assert.Equal(t, Watch, next().Kind(), "the platform holds the document in force")
+}
+
 // Guards against documents that arrive truncated or not at all when their size is
 // at a limit of a chunk or of a document.
 func TestLargeDocumentIsPulledInChunks(t *testing.T) {
