--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -167,7 +167,7 @@
 	sc.burstFrom, sc.burstTo, sc.slowFraction, sc.slowFactor = 2000, 6000, 0.2, 11
 	_, within := simulateSeeds(sc, 2000, 6000, 2)
 	t.Log(within)
-	assert.Greater(t, within.meanBenefit(), 0.55, "0.32 if one slow exchange passes for one of each daemon")
+	assert.Greater(t, within.meanBenefit(), 0.8)
 }
 
 // Guards against hedges in an overload of a large fleet, which only lengthen the queues:
--- a/core/replica/notice.go
+++ b/core/replica/notice.go
@@ -15,8 +15,8 @@
 	// maxHold bounds the time for which a replica can turn this daemon away.
 	maxHold = 10 * clock.Minute
 	// holdGrace is the time after a reply with RetryAfter in which the replica is
-	// still a last resort: it may have turned away one request of many. It is shorter
-	// than the half second that replicas tolerate by the time to open a connection.
+	// still a last resort: it may have turned away one request of many. A request that
+	// is sent at its end may arrive later by the time to open a connection.
 	holdGrace = 200 * clock.Millisecond
 	// peerLeavingLifetime is how long a report of a peer that a replica leaves applies.
 	// Peers repeat it while they know of it.
