core/fleet: an address of another data centre for each caller

Cause: callers of a data centre that loses power had addresses of that data centre alone and could not ask for others: the directory that they ask is there too. The choice stood in entry/membership, beside the one of core/fleet that lovagegapd uses.

Change: AddressAdviser serves both programs. The last of a caller's three addresses is that of another data centre of the region; two are near. They are chosen by the caller's IP address, so that they stay the same from answer to answer; before, a caller with one near daemon got another second one each time.

--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -11,7 +11,7 @@
 //	g, err := gateway.New(config, gateway.Dependencies{Store: store, Interpreter: interpreter, Log: log, …})
 //	err = g.Run(ctx) // cancelling ctx begins the planned stop; returns when it is complete
 //	ready := g.Ready()
-//	addresses, lifetime := g.Addresses("ikeja", "west")
+//	addresses, lifetime := g.Addresses("ikeja", "west", "100.64.0.7")
 package gateway
 
 import (
@@ -175,10 +175,11 @@
 func (g *Gateway) Leaving() bool { return g.leaving.Load() }
 
 // Addresses returns the addresses of entry daemons for a caller in a data centre of
-// a region, and how long the caller may use them. While this data centre is cut
+// a region, and how long the caller may use them. The caller is any text that stays the
+// same between its requests, such as its IP address. While this data centre is cut
 // off from the others, they are those of daemons in other data centres if any are
 // known. The list is empty if no daemon serves callers.
-func (g *Gateway) Addresses(dataCentre, region string) ([]string, clock.Millis) {
+func (g *Gateway) Addresses(dataCentre, region, caller string) ([]string, clock.Millis) {
 	elsewhere, linked := g.tracker.RemoteAddresses()
 	cutOff := g.engine.CutOff(linked)
 	if g.cutOff.Swap(cutOff) != cutOff {
@@ -187,7 +188,7 @@
 	if cutOff && len(elsewhere) > 0 {
 		return elsewhere, g.config.AddressLifetime
 	}
-	return g.tracker.Addresses(dataCentre, region), g.config.AddressLifetime
+	return g.tracker.Addresses(dataCentre, region, caller), g.config.AddressLifetime
 }
 
 // Reconfigure applies the seeds and the retry budget of a changed process
--- a/entry/membership/membership.go
+++ b/entry/membership/membership.go
@@ -11,7 +11,7 @@
 //	tracker.Connect(hub)
 //	go tracker.Run(ctx)
 //	tracker.Ready() // announces that callers are served
-//	addresses := tracker.Addresses("ikeja", "ng-southwest")
+//	addresses := tracker.Addresses("ikeja", "ng-southwest", "100.64.0.7")
 //	tracker.Leave(); … tracker.Left() // planned stop
 package membership
 
@@ -74,6 +74,7 @@
 	startedAt     clock.Millis
 	seedGraceOver bool // whether seedGracePeriod has passed
 	serving       []fleet.Member
+	addresses     fleet.AddressAdviser
 	regions       map[string]string       // by data centre, kept when its daemons are lost
 	lastServed    map[string]clock.Millis // time, by caller address of a daemon in another data centre
 }
@@ -86,6 +87,7 @@
 		seeds: make(map[fleet.ID]bool), daemonCount: 1, startedAt: deps.Clock.Now(),
 		lastServed: make(map[string]clock.Millis), regions: make(map[string]string),
 	}
+	t.addresses.StayInRegion()
 	t.updateRegions([]fleet.Member{deps.Self})
 	return t
 }
@@ -195,6 +197,7 @@
 			delete(t.lastServed, m.CallerAddress())
 		}
 	}
+	t.addresses.SetMembers(t.serving)
 	t.deps.ServingChanged(t.serving)
 	t.updateLastServed()
 	t.updateDaemonCount()
@@ -324,43 +327,20 @@
 	return t.membership.Links()
 }
 
-// maxAddresses limits the addresses in an answer to a caller.
+// maxAddresses limits the addresses in an answer to a caller whose data centre is cut
+// off.
 const maxAddresses = 64
 
-// Addresses returns the caller addresses of the daemons that serve a data centre, at
-// most maxAddresses. If the data centre has fewer than two, daemons of its region are
-// added, since a caller needs a second address for when the first one fails. Daemons
-// of other regions are returned only if the region has none. The region matters only
-// if that of the data centre is not known.
-func (t *Tracker) Addresses(dataCentre, region string) []string {
+// Addresses returns the caller addresses of daemons for a caller in a data centre of a
+// region; see fleet.AddressAdviser. Daemons of other regions are returned only if the
+// region has none. The region matters only if that of the data centre is not known.
+func (t *Tracker) Addresses(dataCentre, region, caller string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if known := t.regions[dataCentre]; known != "" {
 		region = known
 	}
-	var local, sameRegion, otherRegions []string
-	for _, m := range t.serving {
-		switch {
-		case m.DataCentre() == dataCentre:
-			local = append(local, m.CallerAddress())
-		case m.Region() == region || region == "":
-			sameRegion = append(sameRegion, m.CallerAddress())
-		default:
-			otherRegions = append(otherRegions, m.CallerAddress())
-		}
-	}
-	if len(local)+len(sameRegion) == 0 {
-		sameRegion = otherRegions
-	}
-	if len(local) < 2 {
-		t.deps.Random.Shuffle(len(sameRegion), func(i, j int) { sameRegion[i], sameRegion[j] = sameRegion[j], sameRegion[i] })
-		local = append(local, sameRegion[:min(2-len(local), len(sameRegion))]...)
-	}
-	if len(local) > maxAddresses {
-		t.deps.Random.Shuffle(len(local), func(i, j int) { local[i], local[j] = local[j], local[i] })
-		local = local[:maxAddresses]
-	}
-	return slices.Clone(local)
+	return t.addresses.Advise(dataCentre, region, caller, t.deps.Random).Addresses()
 }
 
 // LinkUp handles a link to the peer that opened.
