core/replica: an observation is passed on once two daemons have made it

Cause: the daemon that the others of its data centre follow passed on what any one of them observed. One that is itself slow, or cut off from some replicas, observes that sound replicas are slow or fail, and the others, which ask a replica every second or two, believed it. The rule stood in entry/gateway, an adapter.

Change: core/replica.ObservationMerger merges the reports. Slow or failing is passed on once two daemons observe it, as the milder of both; to a daemon that is one of the two, as what the other observed. That a replica leaves is its own statement and needs one. The daemon that merges applies the same rule to itself.

--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -15,6 +15,7 @@
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/fleet"
 	"github.com/lovagegap/lovagegap/core/mirror"
+	"github.com/lovagegap/lovagegap/core/replica"
 	"github.com/lovagegap/lovagegap/entry/routing"
 )
 
@@ -39,7 +40,7 @@
 	configured   bool          // whether Gateway.configured is closed
 	registered   bool          // used only by the goroutine of run
 	changed      chan struct{} // closed when the mirror changes
-	observations observationMerger
+	observations replica.ObservationMerger
 	callCounts   map[string]int64 // by kind of call and outcome
 }
 
@@ -320,23 +321,24 @@
 // maxFollowWait bounds how long a request of a follower may wait for changes.
 const maxFollowWait = 5 * clock.Second
 
-// recordObservations passes the observations of a follower to the engine, and keeps
-// them for the other followers.
+// recordObservations merges the observations of a follower with those of the others,
+// and applies what they confirm.
 func (s *mirrorSyncer) recordObservations(request mirrorRequest) {
-	s.gateway.engine.ReceiveObservations(decodeObservations(request.Observations))
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.observations.record(s.now(), request.Sender, request.Observations)
+	s.observations.Record(s.now(), request.Sender, decodeObservations(request.Observations))
+	confirmed := s.observationsFor(s.gateway.config.PeerAddress)
+	s.mu.Unlock()
+	s.gateway.engine.ReceiveObservations(confirmed)
 }
 
-// observationsFor returns the observations of replicas by this daemon and its other
-// followers. The caller holds the lock.
-func (s *mirrorSyncer) observationsFor(follower string) []wireObservation {
-	if now := s.now(); s.observations.mergeDue(now) {
-		s.observations.record(now, s.gateway.config.PeerAddress, encodeObservations(s.gateway.engine.Observations()))
-		s.observations.merge(now)
+// observationsFor returns the observations of replicas for a daemon that follows this
+// one, or for this one. The caller holds the lock.
+func (s *mirrorSyncer) observationsFor(daemon string) []replica.Observation {
+	if now := s.now(); s.observations.MergeDue(now) {
+		s.observations.Record(now, s.gateway.config.PeerAddress, s.gateway.engine.Observations())
+		s.observations.Merge(now)
 	}
-	return s.observations.excluding(follower)
+	return s.observations.Excluding(daemon)
 }
 
 // changesFor returns the changes after the revision of a peer. The reply is empty
@@ -350,7 +352,7 @@
 	items, complete, revision := s.mirror.ChangesSince(request.AfterRevision)
 	reply := mirrorReply{
 		Complete: complete, Revision: revision, AgeMs: float64(s.reader.Age(s.now())),
-		Observations: s.observationsFor(request.Sender),
+		Observations: encodeObservations(s.observationsFor(request.Sender)),
 	}
 	for _, item := range items {
 		reply.Items = append(reply.Items, wireItem{
