--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -83,12 +83,29 @@
 // the budget of repeats: sound replicas elsewhere are to be asked, and a caller whose
 // request cannot be repeated is to know it in time for its own retry.
 func TestSheddingReplicasAreAvoided(t *testing.T) {
-	sc := defaultScenario()
+	sc := sheddingScenario()
 	sc.serviceTime, sc.objective, sc.timeout, sc.pauseLength, sc.pausePeriod = 7.5, 80, 800, 100, 2400
+	requireServedBesideShedding(t, sc)
+}
+
+// Guards against the same where the sound replicas of half of the shards are at their
+// capacity without the shedding ones: these are to keep the part that they serve.
+func TestSheddingReplicasKeepTheirPartAtCapacity(t *testing.T) {
+	requireServedBesideShedding(t, sheddingScenario())
+}
+
+// sheddingScenario is a deployment of four daemons where half of the replicas shed 0.6
+// of their requests for four seconds.
+func sheddingScenario() scenario {
+	sc := defaultScenario()
 	sc.sheds = func(s *simulation, r *simReplica) bool {
 		shedding := (int(r.id[1])*3+int(r.id[len(r.id)-1]))%2 == 0
 		return s.now > 3000 && s.now < 7000 && shedding && s.random.Float64() < 0.6
 	}
+	return sc
+}
+
+func requireServedBesideShedding(t *testing.T, sc scenario) {
 	_, within := simulate(sc, 2000, 6000)
 	t.Log(within)
 	assert.Less(t, float64(within.failed+within.refused)/float64(within.requests), 0.01)
--- a/entry/daemon/faults_test.go
+++ b/entry/daemon/faults_test.go
@@ -138,7 +138,8 @@
 		}
 		return duringBurst
 	}
-	l := f.startLoadWith(2, 10*time.Millisecond, newCheck, allDaemons...)
+	const callersPerDaemon = 2
+	l := f.startLoadWith(callersPerDaemon, 10*time.Millisecond, newCheck, allDaemons...)
 	for _, u := range f.upstreams.All() {
 		u.SetFaults(upstreams.Faults{CrashText: "poison"})
 	}
@@ -155,6 +156,8 @@
 	t.Logf("%d harmless queries in flight at the crashes were refused", refused.Load())
 	t.Logf("crashes after each query %v, replies %v", progress, statuses)
 	require.LessOrEqual(t, crashes, maxCrashes)
+	// A caller has one query in flight at a crash, and one is refused only after two.
+	require.LessOrEqual(t, refused.Load(), int64(callersPerDaemon*daemonCount*crashes/2), "harmless queries refused")
 	for n := range f.daemons {
 		f.waitFor(inForceTarget, "the request is quarantined at every daemon", func() bool {
 			address := f.daemons[n].configuration.callerAddress
