core/fleet: many near addresses and half as many far ones for callers on routes

Cause: three addresses for each caller lose where many daemons are down at a time.

Change: fleet.Directory names up to 32 daemons of the caller's data centre and half as many of others. AddressAdviser is lovagegapd's again, whose callers use the first address that answers; only its last address stays elsewhere, now also in another region if the own one has no other data centre.

--- a/core/fleet/addresses.go
+++ b/core/fleet/addresses.go
@@ -51,20 +51,15 @@
 // further buckets. The bound holds for each position in the list of addresses
 // separately.
 //
-// The last address is that of a daemon in another data centre of the region: callers
-// whose data centre is lost cannot ask for new addresses there.
+// The last address is that of a daemon in another data centre, if possible of the
+// region: a caller whose data centre is lost cannot ask for new addresses there.
 type AddressAdviser struct {
-	count        int // addresses in an advice
-	lifetime     clock.Millis
-	stayInRegion bool
-	serving      []candidate
-	plans        map[origin][][]string // addresses by bucket of callers
+	count    int // addresses in an advice
+	lifetime clock.Millis
+	serving  []candidate
+	plans    map[string][][]string // addresses by data centre and bucket of callers
 }
 
-// origin is where callers are. A data centre or region without a daemon that serves
-// callers is empty: the names come from callers, so the others are not stored.
-type origin struct{ dataCentre, region string }
-
 // candidate is a member that serves callers.
 type candidate struct {
 	member          Member
@@ -81,14 +76,6 @@
 	a.count, a.lifetime = count, lifetime
 }
 
-// StayInRegion lets the adviser return daemons of other regions only to callers whose
-// region has none that serves callers.
-func (a *AddressAdviser) StayInRegion() {
-	if !a.stayInRegion {
-		a.stayInRegion, a.plans = true, nil
-	}
-}
-
 // SetMembers sets the members of the fleet. Only alive members with an address for
 // callers are advised.
 func (a *AddressAdviser) SetMembers(members []Member) {
@@ -115,66 +102,57 @@
 	return a.lifetime
 }
 
-// Advise returns the addresses for a caller in a data centre of a region; both are
-// empty if unknown. The region matters only if no daemon serves callers in the data
-// centre. The caller is any text that stays the same between its requests, such as its
-// IP address.
-func (a *AddressAdviser) Advise(dataCentre, region, caller string, random *rand.Rand) Advice {
+// Advise returns the addresses for a caller in a data centre, or of an unknown one
+// if dataCentre is empty. The caller is any text that stays the same between its
+// requests, such as its IP address.
+func (a *AddressAdviser) Advise(dataCentre, caller string, random *rand.Rand) Advice {
 	lifetime := a.MaxLifetime() * clock.Millis(1-lifetimeJitterRatio*random.Float64())
 	if len(a.serving) == 0 {
 		return Advice{lifetime: lifetime}
 	}
-	from := a.origin(dataCentre, region)
-	plan, ok := a.plans[from]
+	plan, ok := a.plans[dataCentre]
 	if !ok {
-		plan = a.plan(from)
+		plan = a.plan(dataCentre)
 		if a.plans == nil {
-			a.plans = make(map[origin][][]string)
+			a.plans = make(map[string][][]string)
+		}
+		// Names of unknown data centres come from callers, so they are not stored and
+		// share a plan.
+		if a.knowsDataCentre(dataCentre) || dataCentre == "" {
+			a.plans[dataCentre] = plan
 		}
-		a.plans[from] = plan
 	}
 	return Advice{addresses: plan[xxhash.Sum64String(caller)%callerBucketCount], lifetime: lifetime}
 }
 
-// origin returns the origin of callers that state the data centre and region.
-func (a *AddressAdviser) origin(dataCentre, region string) origin {
-	var found origin
-	for i := range a.serving {
-		m := &a.serving[i].member
-		if dataCentre != "" && m.dataCentre == dataCentre {
-			return origin{dataCentre, m.region}
-		}
-		if m.region == region {
-			found.region = region
-		}
-	}
-	return found
+func (a *AddressAdviser) knowsDataCentre(dataCentre string) bool {
+	return slices.ContainsFunc(a.serving, func(c candidate) bool { return c.member.dataCentre == dataCentre })
 }
 
-// plan assigns addresses to all buckets of the callers at an origin. The result is
-// indexed by bucket.
-func (a *AddressAdviser) plan(from origin) [][]string {
+// plan assigns addresses to all buckets of the callers in a data centre. The result
+// is indexed by bucket.
+func (a *AddressAdviser) plan(dataCentre string) [][]string {
+	if dataCentre != "" && !a.knowsDataCentre(dataCentre) {
+		return a.sharedPlan()
+	}
 	count := a.count
 	if count <= 0 {
 		count = defaultAddressCount
 	}
-	tiers := a.proximityTiers(from)
-	if a.stayInRegion && len(tiers[0])+len(tiers[1]) > 0 {
-		tiers[2] = nil
-	}
-	count = min(count, len(tiers[0])+len(tiers[1])+len(tiers[2]))
-	elsewhereFirst := [][]candidate{tiers[1], tiers[0], tiers[2]}
+	tiers := a.proximityTiers(dataCentre)
+	elsewhereFirst := [][]candidate{tiers[1], tiers[2], tiers[0]}
+	count = min(count, len(a.serving))
 	plan := make([][]string, callerBucketCount)
 	for position := range count {
+		order := tiers
+		if position > 0 && position == count-1 {
+			order = elsewhereFirst
+		}
 		for _, tier := range tiers {
 			for i := range tier {
 				tier[i].assignedBuckets = 0
 			}
 		}
-		order := tiers
-		if position > 0 && position == count-1 {
-			order = elsewhereFirst
-		}
 		for bucket := range plan {
 			plan[bucket] = append(plan[bucket], pickAddress(order, position, uint64(bucket), plan[bucket]))
 		}
@@ -182,16 +160,35 @@
 	return plan
 }
 
-// proximityTiers groups the serving members by proximity to callers: those in their
-// data centre, those in their region, all others. For callers of whom neither is known
-// all are in the first group.
-func (a *AddressAdviser) proximityTiers(from origin) [][]candidate {
+// sharedPlan returns the plan for callers whose data centre is not known.
+func (a *AddressAdviser) sharedPlan() [][]string {
+	if plan, ok := a.plans[""]; ok {
+		return plan
+	}
+	plan := a.plan("")
+	if a.plans == nil {
+		a.plans = make(map[string][][]string)
+	}
+	a.plans[""] = plan
+	return plan
+}
+
+// proximityTiers groups the serving members by proximity to the data centre: those
+// in it, those in its region, all others. For callers without a data centre all are
+// in the first group.
+func (a *AddressAdviser) proximityTiers(dataCentre string) [][]candidate {
+	region := ""
+	for _, c := range a.serving {
+		if c.member.dataCentre == dataCentre {
+			region = c.member.region
+		}
+	}
 	tiers := make([][]candidate, 3)
 	for _, c := range a.serving {
 		switch {
-		case from == origin{}, from.dataCentre != "" && c.member.dataCentre == from.dataCentre:
+		case dataCentre == "" || c.member.dataCentre == dataCentre:
 			tiers[0] = append(tiers[0], c)
-		case c.member.region == from.region:
+		case c.member.region == region:
 			tiers[1] = append(tiers[1], c)
 		default:
 			tiers[2] = append(tiers[2], c)
@@ -205,11 +202,26 @@
 // the highest rendezvous weight that is below the load bound, or the least loaded
 // one if all have reached the bound.
 func pickAddress(tiers [][]candidate, position int, bucket uint64, taken []string) string {
-	bucketHash := mix(bucket + 1)
 	for _, tier := range tiers {
-		best := heaviest(tier, bucketHash, taken)
+		bound := loadBound(len(tier))
+		var best, least *candidate
+		var bestWeight uint64
+		for i := range tier {
+			c := &tier[i]
+			if slices.Contains(taken, c.member.callerAddress) {
+				continue
+			}
+			if least == nil || c.assignedBuckets < least.assignedBuckets {
+				least = c
+			}
+			weight := mix(c.hash ^ mix(bucket+1))
+			if c.assignedBuckets < bound && (best == nil || weight > bestWeight ||
+				(weight == bestWeight && strings.Compare(c.member.callerAddress, best.member.callerAddress) < 0)) {
+				best, bestWeight = c, weight
+			}
+		}
 		if best == nil {
-			best = leastLoaded(tier, taken)
+			best = least
 		}
 		if best != nil {
 			best.assignedBuckets++
@@ -219,41 +231,6 @@
 	panic("fewer members than addresses at position " + string(rune('0'+position))) // the caller bounds positions
 }
 
-// heaviest returns the candidate below the load bound with the highest rendezvous
-// weight, or nil if there is none that is not taken.
-func heaviest(tier []candidate, bucketHash uint64, taken []string) *candidate {
-	bound := loadBound(len(tier))
-	var best *candidate
-	var bestWeight uint64
-	for i := range tier {
-		c := &tier[i]
-		if c.assignedBuckets >= bound {
-			continue
-		}
-		weight := mix(c.hash ^ bucketHash)
-		if best != nil && (weight < bestWeight ||
-			weight == bestWeight && strings.Compare(c.member.callerAddress, best.member.callerAddress) >= 0) {
-			continue
-		}
-		if !slices.Contains(taken, c.member.callerAddress) {
-			best, bestWeight = c, weight
-		}
-	}
-	return best
-}
-
-// leastLoaded returns the candidate with the fewest buckets, or nil if all are taken.
-func leastLoaded(tier []candidate, taken []string) *candidate {
-	var least *candidate
-	for i := range tier {
-		c := &tier[i]
-		if (least == nil || c.assignedBuckets < least.assignedBuckets) && !slices.Contains(taken, c.member.callerAddress) {
-			least = c
-		}
-	}
-	return least
-}
-
 // loadBound returns the number of buckets that a daemon may get among members
 // daemons.
 func loadBound(members int) int {
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -21,7 +21,7 @@
 //	var a fleet.AddressAdviser
 //	a.Configure(3, 10*clock.Second)
 //	a.SetMembers(m.Members())
-//	advice := a.Advise("ikeja", "ng-southwest", caller, random)
+//	advice := a.Advise("ikeja", caller, random)
 //
 // The adapter keeps at most one link to a peer. It calls LinkUp once a dialled or
 // accepted link is authenticated, and LinkDown when a link breaks or a dial
--- a/entry/control/lifecycle.go
+++ b/entry/control/lifecycle.go
@@ -67,7 +67,7 @@
 	if !c.membership.Trustworthy(c.deps.Clock.Now()) {
 		return nil, 0
 	}
-	advice := c.addresses.Advise(dataCentre, "", caller, c.random)
+	advice := c.addresses.Advise(dataCentre, caller, c.random)
 	if slices.Contains(advice.Addresses(), c.deps.Self.CallerAddress()) {
 		c.drain.RecordAdvice(c.deps.Clock.Now() + advice.Lifetime())
 	}
--- a/entry/membership/membership.go
+++ b/entry/membership/membership.go
@@ -74,7 +74,7 @@
 	startedAt     clock.Millis
 	seedGraceOver bool // whether seedGracePeriod has passed
 	serving       []fleet.Member
-	addresses     fleet.AddressAdviser
+	directory     fleet.Directory
 	regions       map[string]string       // by data centre, kept when its daemons are lost
 	lastServed    map[string]clock.Millis // time, by caller address of a daemon in another data centre
 }
@@ -87,7 +87,6 @@
 		seeds: make(map[fleet.ID]bool), daemonCount: 1, startedAt: deps.Clock.Now(),
 		lastServed: make(map[string]clock.Millis), regions: make(map[string]string),
 	}
-	t.addresses.StayInRegion()
 	t.updateRegions([]fleet.Member{deps.Self})
 	return t
 }
@@ -197,7 +196,7 @@
 			delete(t.lastServed, m.CallerAddress())
 		}
 	}
-	t.addresses.SetMembers(t.serving)
+	t.directory.SetMembers(t.serving)
 	t.deps.ServingChanged(t.serving)
 	t.updateLastServed()
 	t.updateDaemonCount()
@@ -332,7 +331,7 @@
 const maxAddresses = 64
 
 // Addresses returns the caller addresses of daemons for a caller in a data centre of a
-// region; see fleet.AddressAdviser. Daemons of other regions are returned only if the
+// region; see fleet.Directory. Daemons of other regions are returned only if the
 // region has none. The region matters only if that of the data centre is not known.
 func (t *Tracker) Addresses(dataCentre, region, caller string) []string {
 	t.mu.Lock()
@@ -340,7 +339,7 @@
 	if known := t.regions[dataCentre]; known != "" {
 		region = known
 	}
-	return t.addresses.Advise(dataCentre, region, caller, t.deps.Random).Addresses()
+	return t.directory.Addresses(dataCentre, region, caller)
 }
 
 // LinkUp handles a link to the peer that opened.
