--- a/lovagegapctl/internal/command/command.go
+++ b/lovagegapctl/internal/command/command.go
@@ -61,7 +61,7 @@
 	{"upstreams", "u", "list the upstreams as a daemon sees them", func() runner { return &upstreamsCommand{} }},
 	{"events", "e", "list the events of a daemon", func() runner { return &eventsCommand{} }},
 	{"metrics", "m", "show the metrics of a daemon", func() runner { return &metricsCommand{} }},
-	{"trace", "t", "merge log files of daemons by time, or show one request", func() runner { return &traceCommand{} }},
+	{"trace", "t", "merge log files of daemons by time, show one request, or count those not served", func() runner { return &traceCommand{} }},
 	{"drain", "stop", "stop a daemon after its running queries have ended", func() runner { return &drainCommand{} }},
 }
 
--- a/lovagegapctl/internal/command/trace.go
+++ b/lovagegapctl/internal/command/trace.go
@@ -21,8 +21,10 @@
 // errRequestNotFound means that no line of the logs belongs to the request.
 var errRequestNotFound = errors.New("no log line of the request found; routine requests are only sampled")
 
-// traceCommand merges log files of daemons by time, optionally for one request.
+// traceCommand merges log files of daemons by time, optionally for one request, or counts
+// the requests that were not served.
 type traceCommand struct {
+	Classes bool          `long:"classes" short:"c" description:"count the requests that were not served by what prevented it"`
 	Request string        `long:"request" short:"r" description:"show only the lines of this request, and lines of its daemons that concern no request within --window of it"`
 	Window  time.Duration `long:"window" default:"2s" description:"with --request: time before and after its lines in which lines that concern no request are shown"`
 	Files   struct {
@@ -55,6 +57,10 @@
 			return errRequestNotFound
 		}
 	}
+	if c.Classes {
+		classes := unservedClasses(lines)
+		return s.print(classes, func(w io.Writer) { writeClasses(w, classes) })
+	}
 	fields := make([]map[string]any, len(lines))
 	for i, line := range lines {
 		fields[i] = line.fields
