core/dispatch: no hedges at replicas that leave

Cause: TestNoticesOfReplicaAreApplied failed once with the race detector. Held replicas were left out already.

Change: Replica.LastResort covers a replica that leaves, by its own word or a peer's, and one that is held; none of them is hedged at. Retries may still use them.

--- a/core/dispatch/request_test.go
+++ b/core/dispatch/request_test.go
@@ -426,3 +426,28 @@
 	}
 	_ = ended
 }
+
+// Guards against hedges at replicas that leave or that want no requests for a time: they
+// are a last resort, and a first attempt that is only late needs none.
+func TestReplicaOfLastResortIsNotHedgedAt(t *testing.T) {
+	for name, notices := range map[string]replica.Notices{
+		"leaving": {Leaving: true}, "turned away": {RetryAfter: clock.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newRequestFixture(t, singleRoute(true))
+			replicas := []*replica.Replica{f.sent[0].Replica()}
+			for range 2 {
+				other, err := f.set.Pool("s0").Pick(0, replica.NewCriteria(10, replicas))
+				require.NoError(t, err)
+				replicas = append(replicas, other)
+			}
+			replicas[1].HandleNotices(0, 0, notices)
+			replicas[2].HandleNotices(0, 0, notices)
+			for now := clock.Millis(1); now < 500; now++ {
+				f.tick(now)
+			}
+			assert.Len(t, f.sent, 1)
+			assert.Equal(t, []WithheldHedge{{Service: "s0", Reason: withheldReplica}}, f.request.WithheldHedges())
+		})
+	}
+}
--- a/core/dispatch/shard.go
+++ b/core/dispatch/shard.go
@@ -265,7 +265,7 @@
 		s.withheld = withheldTooLate
 	case q.overloaded(now, s):
 		s.withheld = withheldOverload
-	case err != nil || r.Held(now):
+	case err != nil || r.LastResort(now):
 		s.withheld = withheldReplica
 	case r.Overdue(now, q.expectedLatency):
 		s.withheld = withheldOverdue
--- a/core/replica/notice.go
+++ b/core/replica/notice.go
@@ -45,6 +45,12 @@
 // own replies.
 func (r *Replica) draining() bool { return r.entry.Draining() || r.leaving }
 
+// LastResort reports whether the replica is to be asked only if no other one is left: it
+// has stated that it leaves, to this daemon or to a peer, or it is held.
+func (r *Replica) LastResort(now clock.Millis) bool {
+	return r.leaving || now < r.peerLeavingUntil || r.Held(now)
+}
+
 // Held reports whether the replica has asked this daemon to send nothing for a time
 // that has not ended.
 func (r *Replica) Held(now clock.Millis) bool { return now < r.hold.until }
