--- a/core/fleet/addresses_test.go
+++ b/core/fleet/addresses_test.go
@@ -131,7 +131,7 @@
 }
 
 // Guards against callers whose addresses are all lost with their data centre, and that
-// cannot ask there for others: the last one must be elsewhere, spread evenly.
+// cannot ask there for others: the last one must be in another data centre, spread evenly.
 func TestAdviseEndsWithAnotherDataCentre(t *testing.T) {
 	const dataCentres, callers = 5, 2000
 	members := servingMembers(80, dataCentres)
--- a/core/fleet/directory.go
+++ b/core/fleet/directory.go
@@ -12,7 +12,7 @@
 	maxNearAddresses = 32
 	// nearPerFarAddress is the number of addresses of the own data centre for each one
 	// of another. A larger one leaves a caller whose data centre is lost with fewer
-	// connections that succeed, a lower one harms more callers elsewhere.
+	// connections that succeed, a lower one harms more callers of other data centres.
 	nearPerFarAddress = 2
 )
 
