--- a/lovagegapctl/internal/command/classes.go
+++ b/lovagegapctl/internal/command/classes.go
@@ -44,8 +44,12 @@
 }
 
 // classifyUnserved returns the class of a line of a request that was not served, and
-// false for any other line.
+// false for any other line. What a daemon did not serve of another one's request is none:
+// that one sends the shards itself.
 func classifyUnserved(line logLine) (string, bool) {
+	if line.fields["delegated"] == true {
+		return "", false
+	}
 	switch line.fields["msg"] {
 	case "caller disconnected":
 		return classDisconnected, true
--- a/lovagegapctl/internal/command/classes_test.go
+++ b/lovagegapctl/internal/command/classes_test.go
@@ -16,7 +16,9 @@
 // Guards against a request that is counted under another cause than its line shows.
 func TestClassOfUnservedRequest(t *testing.T) {
 	cases := map[string]struct{ line, class string }{
-		"served":           {`{"msg":"answer late","status":200}`, ""},
+		"served": {`{"msg":"answer late","status":200}`, ""},
+		"of another daemon": {`{"msg":"request not served","delegated":true,"status":503,
+			"reason":"too few shards have an available replica"}`, ""},
 		"another line":     {`{"msg":"store lost"}`, ""},
 		"disconnected":     {`{"msg":"caller disconnected","reason":"the caller disconnected"}`, classDisconnected},
 		"no configuration": {`{"msg":"request not served","reason":"no configuration loaded yet"}`, classNoConfiguration},
