Read-through: a replica's own statement confirms no observation; wording

Cause: read as a newcomer, a test of the merge pinned a fault: that a replica leaves, stated to one daemon, counted as the second observation of another daemon's "slow", so that one observer was passed on after all.

Change: only two daemons that find a replica slow or failing confirm each other; with one of them the others get the statement alone. design says that lovagegapd's last address is elsewhere; two comments name what they mean.

Result: the corrected case fails before and passes after.

--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -80,7 +80,7 @@
 
 // Guards against requests that fail after their whole time limit because replicas that
 // shed a part of their requests, nearly half of all, get the first attempts and use up
-// the budget of repeats: sound replicas elsewhere are to be asked, and a caller whose
+// the budget of repeats: sound replicas of other data centres are asked, and a caller whose
 // request cannot be repeated is to know it in time for its own retry.
 func TestSheddingReplicasAreAvoided(t *testing.T) {
 	sc := sheddingScenario()
--- a/core/replica/merger.go
+++ b/core/replica/merger.go
@@ -35,7 +35,7 @@
 type mergedObservation struct {
 	worst, secondWorst Observation
 	reporter           string // daemon that reported the worst one
-	confirmed          bool   // by a second daemon
+	confirmed          bool   // whether there is a second one
 }
 
 // Record replaces the observations of a daemon. An empty list removes them.
@@ -114,19 +114,25 @@
 // excluding returns what a daemon gets of the observations of a replica. Reported means
 // that the daemon has reported one of them.
 func (m *mergedObservation) excluding(daemon string, reported bool) (Observation, bool) {
+	o := m.worst
 	switch {
-	case !m.confirmed && m.reporter == daemon:
+	case m.reporter == daemon && !m.confirmed:
 		return Observation{}, false
-	case !m.confirmed:
-		return m.worst.statement()
-	case !reported:
-		// The milder of two is what both have seen.
-		return m.secondWorst.or(m.worst), true
 	case m.reporter == daemon:
-		return m.secondWorst, true
-	default:
-		return m.worst, true
+		o = m.secondWorst
+	case m.confirmed && !reported:
+		// The milder of two is what both have seen.
+		o = m.secondWorst.or(m.worst)
+	}
+	if !m.confirmed || !m.worst.adverse() || !m.secondWorst.adverse() {
+		return o.statement()
 	}
+	return o, true
+}
+
+// adverse reports whether the daemon itself has found the replica slow or failing.
+func (o Observation) adverse() bool {
+	return o.slowness >= slowThreshold || o.failureRate >= failingThreshold
 }
 
 // or returns the observation, as leaving if either is.
--- a/core/replica/merger_test.go
+++ b/core/replica/merger_test.go
@@ -73,7 +73,7 @@
 		},
 		"leaving to one daemon, slow for another": {
 			map[string][]Observation{"a": {leaving("x")}, "b": {slow("x", 5)}},
-			map[string][]Observation{"a": {slow("x", 5)}, "b": {leaving("x")}, "c": {slow("x", 5).AsLeaving(7)}},
+			map[string][]Observation{"a": nil, "b": {leaving("x")}, "c": {leaving("x")}},
 		},
 		"failing for one daemon, slow for another": {
 			map[string][]Observation{"a": {failing("x", 1)}, "b": {slow("x", 5)}},
--- a/core/replica/observation.go
+++ b/core/replica/observation.go
@@ -83,7 +83,7 @@
 		if r.leaving {
 			o = o.AsLeaving(r.entry.spec.Incarnation)
 		}
-		if o.leaving || o.slowness >= slowThreshold || o.failureRate >= failingThreshold {
+		if o.leaving || o.adverse() {
 			found = append(found, o)
 		}
 	}
--- a/entry/upstreams/exchange_test.go
+++ b/entry/upstreams/exchange_test.go
@@ -210,7 +210,7 @@
 
 // TestSecondReplyIsNotTakenForNextRequest guards against a second copy of a reply that
 // arrives while the next sub-request waits on the connection, and that passes as its
-// reply: a sub-request that runs would count as not run, and run again elsewhere.
+// reply: a sub-request that runs would count as not run, and run again at another upstream.
 func TestSecondReplyIsNotTakenForNextRequest(t *testing.T) {
 	for name, reply := range map[string]func(net.Conn, *http.Request, int){
 		"shed":                 replyWithStatus("503 Shed", "Lovagegap-Ran: not-run\r\nLovagegap-Request: q1/0\r\n"),
