--- a/review/standin/lab.go
+++ b/review/standin/lab.go
@@ -20,6 +20,7 @@
 	board   *board
 	deploy  *deployment
 	daemons []*daemon
+	serving []*daemon // that get requests; all if empty
 
 	mu         sync.Mutex
 	replicas   map[string]*replica // by id, while it runs
@@ -99,8 +100,12 @@
 func (l *lab) nextID(kind string) string { return fmt.Sprintf("%s%06x", kind, l.requestSeq.Add(1)) }
 
 // traffic starts clients, each with kept connections, that together send perSecond
-// requests. Each request goes to one of the daemons in turn.
+// requests. Each request goes to one of the serving daemons in turn.
 func (l *lab) traffic(clients int, perSecond float64, next func() request, done func(request, answer)) {
+	serving := l.serving
+	if len(serving) == 0 {
+		serving = l.daemons
+	}
 	interval := time.Duration(float64(clients) / perSecond * float64(time.Second))
 	for i := range clients {
 		l.clients.Go(func() {
@@ -119,7 +124,7 @@
 					return
 				case <-ticker.C:
 				}
-				m := l.daemons[n%len(l.daemons)]
+				m := serving[n%len(serving)]
 				c := kept[m]
 				if c == nil {
 					var err error
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -118,6 +118,17 @@
 	}
 }
 
+// reply sends a reply with its length.
+func reply(w http.ResponseWriter, value any) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	_, _ = w.Write(text)
+}
+
 func (s *store) key(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	found, ok := s.items[r.FormValue("key")]
@@ -127,9 +138,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	_ = json.NewEncoder(w).Encode(map[string]any{
-		"key": found.Key, "value": found.Value, "rev": found.Rev, "storeRevision": revision,
-	})
+	reply(w, map[string]any{"key": found.Key, "value": found.Value, "rev": found.Rev, "storeRevision": revision})
 }
 
 type rangeReply struct {
@@ -141,7 +150,7 @@
 func (s *store) list(w http.ResponseWriter, r *http.Request) {
 	prefix, after := r.FormValue("prefix"), r.FormValue("after")
 	s.mu.Lock()
-	reply := rangeReply{Revision: s.revision, Items: []item{}}
+	page := rangeReply{Revision: s.revision, Items: []item{}}
 	var keys []string
 	for key := range s.items {
 		if strings.HasPrefix(key, prefix) && key > after {
@@ -151,13 +160,13 @@
 	sort.Strings(keys)
 	for i, key := range keys {
 		if i == pageItems {
-			reply.More = true
+			page.More = true
 			break
 		}
-		reply.Items = append(reply.Items, s.items[key])
+		page.Items = append(page.Items, s.items[key])
 	}
 	s.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(reply)
+	reply(w, page)
 }
 
 type watchReply struct {
@@ -173,21 +182,21 @@
 	for {
 		s.mu.Lock()
 		changed, cut := s.changed, s.cut
-		reply := watchReply{Revision: s.revision, Events: []item{}}
+		changes := watchReply{Revision: s.revision, Events: []item{}}
 		for _, event := range s.events {
 			if event.Rev > after && strings.HasPrefix(event.Key, prefix) {
-				reply.Events = append(reply.Events, event)
+				changes.Events = append(changes.Events, event)
 			}
 		}
 		s.mu.Unlock()
-		if len(reply.Events) > 0 {
-			_ = json.NewEncoder(w).Encode(reply)
+		if len(changes.Events) > 0 {
+			reply(w, changes)
 			return
 		}
 		select {
 		case <-changed:
 		case <-limit:
-			_ = json.NewEncoder(w).Encode(reply)
+			reply(w, changes)
 			return
 		case <-cut:
 			s.record.add("store: cut a watch that was waiting, of %s", r.RemoteAddr)
@@ -221,5 +230,5 @@
 	s.mu.Lock()
 	revision := s.revision
 	s.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(map[string]any{"rev": revision})
+	reply(w, map[string]any{"rev": revision})
 }
