--- a/review/standin/lab.go
+++ b/review/standin/lab.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"strings"
@@ -99,8 +100,9 @@
 
 func (l *lab) nextID(kind string) string { return fmt.Sprintf("%s%06x", kind, l.requestSeq.Add(1)) }
 
-// traffic starts clients, each with kept connections, that together send perSecond
-// requests. Each request goes to one of the serving daemons in turn.
+// traffic starts clients, each with kept connections and at its own times, that
+// together send perSecond requests. Each request goes to one of the serving daemons in
+// turn.
 func (l *lab) traffic(clients int, perSecond float64, next func() request, done func(request, answer)) {
 	serving := l.serving
 	if len(serving) == 0 {
@@ -115,7 +117,7 @@
 					c.close()
 				}
 			}()
-			time.Sleep(interval * time.Duration(i) / time.Duration(clients))
+			time.Sleep(time.Duration(rand.Int64N(int64(interval))))
 			ticker := time.NewTicker(interval)
 			defer ticker.Stop()
 			for n := i; ; n++ {
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -70,16 +70,15 @@
 	mu       sync.Mutex
 	conns    map[net.Conn]bool
 	waiting  int
-	running  int
 	gone     bool
-	brokenID []string // requests that were running when the replica ended
-	runs     map[string]bool
+	brokenID []string          // requests that were running when the replica ended
+	runs     map[string]string // path of the requests that run, by id
 }
 
 func newReplica(b *board, spec replicaSpec) (*replica, error) {
 	r := &replica{
 		spec: spec, board: b, slots: make(chan struct{}, spec.slots),
-		conns: make(map[net.Conn]bool), runs: make(map[string]bool),
+		conns: make(map[net.Conn]bool), runs: make(map[string]string),
 	}
 	listener, err := net.Listen("tcp", spec.ip+":0")
 	if err != nil {
@@ -127,6 +126,19 @@
 	_ = r.server.Close()
 }
 
+// runningCount returns the number of requests with the path that run.
+func (r *replica) runningCount(path string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, running := range r.runs {
+		if running == path {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *replica) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	id := q.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
@@ -155,12 +167,10 @@
 		r.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
-	r.running++
-	r.runs[id] = true
+	r.runs[id] = q.URL.Path
 	r.mu.Unlock()
 	defer func() {
 		r.mu.Lock()
-		r.running--
 		delete(r.runs, id)
 		r.mu.Unlock()
 	}()
