--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,6 +31,7 @@
 var cases = map[string]func(*lab) (bool, error){
 	"crashing-request": crashingRequest,
 	"innocent-request": innocentRequest,
+	"foreign-entries":  foreignEntries,
 }
 
 func main() {
