--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,6 +32,7 @@
 	"crashing-request": crashingRequest,
 	"innocent-request": innocentRequest,
 	"foreign-entries":  foreignEntries,
+	"stray-entry":      strayEntry,
 }
 
 func main() {
