--- a/review/standin/stray_entry.go
+++ b/review/standin/stray_entry.go
@@ -49,6 +49,8 @@
 		switch {
 		case a.status == http.StatusOK:
 			served.Add(1)
+		case a.status == http.StatusRequestTimeout, a.status == http.StatusMisdirectedRequest, a.status == http.StatusTooManyRequests:
+			// The rule leaves these out.
 		case a.status >= 300 && a.status < 500 && a.stamp == "":
 			denied.Add(1)
 		}
