routing: the end of a kept connection makes a request a crash suspect

Callers saw 502 for a request on an idempotent route, again and again, while it crashed two replicas each time; no daemon quarantined it.

Cause: idempotent requests go over kept connections. A crash before the first byte of the reply ends the exchange as closed, as if the replica had closed an idle connection, and only lost counted as a crash. One lost replica was recorded for each request, when it ended.

Change: each exchange is recorded when it ends. closed makes the request a suspect; what is sent after a loss goes over a new connection, where the loss is certain and confirms. A confirmed request gets no further attempt.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -110,6 +110,7 @@
 	coveredShards int
 	openShards    int  // shards that may still be covered
 	mayHaveRun    bool // an ended attempt may have run the request
+	noRepeats     bool // no attempt is made for a shard that had one
 
 	actions  []Action
 	wakeAt   clock.Millis // instant of the last Wake, or never after it
@@ -231,6 +232,9 @@
 	a.replica.HandleNotices(now, a.startedAt, notices)
 }
 
+// ForbidRepeats ends retries and hedges: the request crashes the replicas that run it.
+func (q *Request) ForbidRepeats() { q.noRepeats = true }
+
 // RecordResult records the result of the attempt with the given number. The
 // replica's statistics are updated even if the attempt is abandoned or the
 // request has finished. A second result of the same attempt is ignored.
--- a/core/dispatch/request_test.go
+++ b/core/dispatch/request_test.go
@@ -253,6 +253,23 @@
 	f.end(86, 0, replica.OK)
 }
 
+// Guards against a request that is known to crash replicas and is hedged or retried: no
+// shard that had an attempt gets another one.
+func TestForbiddenRepeatsAreNotMade(t *testing.T) {
+	f := newRequestFixture(t, shardedRoute("s0", "s1"))
+	f.request.ForbidRepeats()
+	f.end(10, 0, replica.Lost)
+	require.NotNil(t, f.outcome)
+	assert.Equal(t, Unavailable, f.outcome.Kind())
+
+	f = newRequestFixture(t, singleRoute(true))
+	f.request.ForbidRepeats()
+	for now := clock.Millis(20); now < 400; now += 5 {
+		f.tick(now)
+	}
+	assert.Len(t, f.sent, 1)
+}
+
 // Guards against wasted work for a caller that has disconnected, and against closing
 // the connection of a non-idempotent attempt.
 func TestCancelAbandonsIdempotentAttempts(t *testing.T) {
--- a/core/dispatch/shard.go
+++ b/core/dispatch/shard.go
@@ -128,7 +128,7 @@
 		// allows no further replicas, so the same ones are retried.
 		s.allowShedReplicas()
 	}
-	if s.reached >= q.attemptLimit(s) || s.connectFailures >= maxConnectFailures {
+	if s.reached >= q.attemptLimit(s) || s.connectFailures >= maxConnectFailures || (q.noRepeats && s.reached > 0) {
 		q.failShard(i)
 		return
 	}
@@ -298,5 +298,5 @@
 // mayHedge reports whether the shard may be hedged: on an idempotent route and
 // below its limit of attempts.
 func (q *Request) mayHedge(s *shard) bool {
-	return q.route.Idempotent() && s.reached+s.pending < q.route.MaxAttempts()
+	return !q.noRepeats && q.route.Idempotent() && s.reached+s.pending < q.route.MaxAttempts()
 }
--- a/core/quarantine/list.go
+++ b/core/quarantine/list.go
@@ -118,6 +118,22 @@
 	if l.recentlyCompleted(now, f) {
 		return false
 	}
+	return sent >= l.addEvidence(now, f, id) && l.BlockIfConfirmed(now, f)
+}
+
+// Suspect records that an upstream may have crashed with the fingerprint in flight, on
+// evidence that is too weak to block it: the end of a reused connection may be that of
+// an idle one. The next crash with the fingerprint is then the second one. Like a crash,
+// this does not count within completionValidity of a success.
+func (l *List) Suspect(now clock.Millis, f Fingerprint, id upstream.ID) {
+	if !l.IsBlocked(now, f) && !l.recentlyCompleted(now, f) {
+		l.addEvidence(now, f, id)
+	}
+}
+
+// addEvidence adds an upstream to those that were lost with the fingerprint in flight,
+// and returns the time of the first loss.
+func (l *List) addEvidence(now clock.Millis, f Fingerprint, id upstream.ID) (firstCrash clock.Millis) {
 	s := l.suspects[f]
 	if now >= s.lastCrash+suspectValidity {
 		s.crashedUpstreams = nil
@@ -130,7 +146,7 @@
 	}
 	s.lastCrash = now
 	l.setSuspect(f, s)
-	return sent >= s.firstCrash && l.BlockIfConfirmed(now, f)
+	return s.firstCrash
 }
 
 // BlockIfConfirmed blocks a fingerprint that was in flight at crashes of two distinct
--- a/core/quarantine/list_test.go
+++ b/core/quarantine/list_test.go
@@ -92,6 +92,24 @@
 	require.Len(t, list.TakeChanges(), 1)
 }
 
+// Guards against a harmless request that is blocked because idle connections ended while
+// it was sent, and against a crash after such an end that does not count as the second one.
+func TestSuspicionBlocksOnlyWithCrash(t *testing.T) {
+	var list quarantine.List
+	list.Suspect(0, f, "a")
+	list.Suspect(1, f, "b")
+	require.True(t, list.IsSuspect(1, f))
+	require.False(t, list.IsBlocked(1, f))
+	require.True(t, list.RecordCrash(3, f, "c", 2))
+
+	list = quarantine.List{}
+	list.Suspect(5, f, "a")
+	require.False(t, list.RecordCrash(6, f, "b", 4), "sent before the first loss")
+	list.RecordSuccess(7, f)
+	list.Suspect(8, f, "a")
+	require.False(t, list.IsSuspect(8, f), "it has completed just before")
+}
+
 // Guards against suspects and quarantined entries that never expire, or expire early.
 func TestSuspectAndQuarantineExpire(t *testing.T) {
 	var list quarantine.List
--- a/entry/routing/call.go
+++ b/entry/routing/call.go
@@ -31,6 +31,7 @@
 	earlyAnswers         chan Answer // reports for the delegating daemon
 	onReport             func(Part)
 	leaving              []replica.Observation // replicas that stated that they leave
+	lostReplicas         []string              // replicas that the request may have crashed
 	traces               []exchangeTrace
 	configurationVersion uint64
 	timer                *time.Timer
@@ -105,7 +106,7 @@
 		Method: c.request.Method, Target: c.request.Target, Host: c.request.Host,
 		Header: c.request.Header, Body: c.request.Body, RequestID: c.request.ID,
 		Deadline: action.At(), RequireSuccess: len(c.route.Shards()) > 0,
-		NewConnection: !c.route.Idempotent() || c.sentTo(entry.ID()),
+		NewConnection: !c.route.Idempotent() || c.sentTo(entry.ID()) || c.needsCertainty(now),
 	})
 	c.exchanges = append(c.exchanges, x)
 	c.replies = append(c.replies, nil)
@@ -114,7 +115,7 @@
 	}
 	c.traceSend(now, action)
 	e.deps.Meter.AttemptSent(c.route.Name(), entry.Service(), action.Purpose().String())
-	go c.runExchange(x, action.Attempt(), action.Replica())
+	go c.runExchange(x, now, action.Attempt(), action.Replica())
 }
 
 // sentTo reports whether an earlier attempt of the request went to the replica. Its
@@ -124,7 +125,7 @@
 	return slices.ContainsFunc(c.traces, func(t exchangeTrace) bool { return t.Replica == id })
 }
 
-func (c *call) runExchange(x *exchange.Exchange, attempt int, target *replica.Replica) {
+func (c *call) runExchange(x *exchange.Exchange, sent clock.Millis, attempt int, target *replica.Replica) {
 	reply, result := x.Run()
 	e := c.engine
 	e.mu.Lock()
@@ -142,6 +143,7 @@
 	if reply != nil {
 		c.recordNotices(now, attempt, target, reply.Notices())
 	}
+	c.updateQuarantine(now, sent, target.Entry().ID(), result, reply)
 	actions := c.machine.RecordResult(now, attempt, result)
 	e.logStateChange(now, target, result)
 	c.perform(now, actions)
@@ -239,7 +241,7 @@
 	now := c.engine.deps.Clock.Now()
 	if !c.delegated {
 		c.engine.partition.RecordOutcome(now, outcome)
-		c.updateQuarantine(now, outcome.Kind())
+		c.reportCrashes(now, outcome.Kind())
 	}
 	c.finish(answer, outcome.Kind().String(), outcome.Missing())
 }
@@ -254,7 +256,10 @@
 		}
 	}
 	answer := mergeParts(c.route, parts, outcome.Missing())
-	answer.outcome, answer.lostReplica, answer.leaving = outcome, c.lostReplica(), c.leaving
+	answer.outcome, answer.leaving = outcome, c.leaving
+	if len(c.lostReplicas) > 0 {
+		answer.lostReplica = c.lostReplicas[0]
+	}
 	return answer
 }
 
--- a/entry/routing/crash.go
+++ b/entry/routing/crash.go
@@ -8,6 +8,7 @@
 	"github.com/lovagegap/lovagegap/core/quarantine"
 	"github.com/lovagegap/lovagegap/core/replica"
 	"github.com/lovagegap/lovagegap/core/upstream"
+	"github.com/lovagegap/lovagegap/entry/exchange"
 )
 
 const (
@@ -22,7 +23,8 @@
 // crashTracker quarantines requests that may crash replicas. Requests with the same
 // method, host, target and body count as the same request, whichever caller sends
 // them to whichever daemon. A request is blocked once two attempts, at different
-// replicas, have ended with a lost connection and without an answer.
+// replicas, have ended with a lost connection and without an answer. The second one must
+// have used a new connection.
 type crashTracker struct {
 	quarantine  quarantine.List
 	published   int // reports in the current window of one second
@@ -38,52 +40,64 @@
 	return !e.crashes.quarantine.Empty() && e.crashes.quarantine.IsBlocked(now, request.fingerprint())
 }
 
-// updateQuarantine records the outcome of a request: an answer counts as a
-// success of a suspect request, a lost connection without an answer as a crash. The
-// caller holds the lock.
-func (c *call) updateQuarantine(now clock.Millis, outcome dispatch.OutcomeKind) {
+// isSuspect reports whether the request may have crashed a replica. The caller holds
+// the lock.
+func (e *Engine) isSuspect(now clock.Millis, request *Request) bool {
+	return !e.crashes.quarantine.Empty() && e.crashes.quarantine.IsSuspect(now, request.fingerprint())
+}
+
+// updateQuarantine records the result of an exchange with a replica: a reply that the
+// replica has sealed counts as a success of a suspect request, a lost connection as a
+// crash. A reused connection that ended may have been idle for too long; this only makes
+// the request a suspect. The caller holds the lock.
+func (c *call) updateQuarantine(now, sent clock.Millis, id string, result replica.Result, reply *exchange.Reply) {
 	e := c.engine
-	switch outcome {
-	case dispatch.Answered, dispatch.Gathered:
-		if e.crashes.quarantine.Empty() {
-			return
+	switch result {
+	case replica.OK, replica.Failed:
+		if reply.Seal() != "" && e.isSuspect(now, &c.request) {
+			e.crashes.quarantine.RecordSuccess(now, c.request.fingerprint())
 		}
-		if f := c.request.fingerprint(); e.crashes.quarantine.IsSuspect(now, f) {
-			e.crashes.quarantine.RecordSuccess(now, f)
+	case replica.Closed:
+		c.suspect(now, id)
+	case replica.Lost:
+		c.lostReplicas = append(c.lostReplicas, id)
+		f := c.request.fingerprint()
+		if e.crashes.quarantine.RecordCrash(now, f, upstream.ID(id), sent) {
+			e.deps.Log.Info("request quarantined", "fingerprint", f.String(), "replica", id, "request", c.request.ID)
+			c.machine.ForbidRepeats()
 		}
-		return
-	case dispatch.Unavailable, dispatch.TimedOut:
-	default:
-		return
-	}
-	if lost := c.lostReplica(); lost != "" {
-		e.recordCrash(now, c.request.fingerprint(), lost, c.startedAt)
 	}
 }
 
-// lostReplica returns a replica whose connection was lost, here or at a daemon to
-// which shards were delegated, or "" if there is none.
-func (c *call) lostReplica() string {
-	for i := range c.traces {
-		if c.traces[i].Result == replica.Lost.String() {
-			return c.traces[i].Replica
-		}
-	}
-	return c.delegatedPart.LostReplica
+// needsCertainty reports whether the next exchange needs a new connection, because a
+// replica was lost with this request or with an earlier one like it. A reused connection
+// may end only because it was idle for too long. The caller holds the lock.
+func (c *call) needsCertainty(now clock.Millis) bool {
+	return len(c.lostReplicas) > 0 || c.engine.isSuspect(now, &c.request)
+}
+
+// suspect records that the request may have crashed a replica. The caller holds the lock.
+func (c *call) suspect(now clock.Millis, id string) {
+	c.lostReplicas = append(c.lostReplicas, id)
+	c.engine.crashes.quarantine.Suspect(now, c.request.fingerprint(), upstream.ID(id))
 }
 
-// recordCrash counts an attempt that ended with a lost connection as a crash, and
-// publishes it to the peers within their rate limit. The caller holds the lock.
-func (e *Engine) recordCrash(now clock.Millis, f quarantine.Fingerprint, lost string, startedAt clock.Millis) {
-	if e.crashes.quarantine.RecordCrash(now, f, upstream.ID(lost), startedAt) {
-		e.deps.Log.Info("request quarantined", "fingerprint", f.String(), "replica", lost)
+// reportCrashes reports the replicas that the request may have crashed to the peers,
+// within their rate limit, unless it was served. The caller holds the lock.
+func (c *call) reportCrashes(now clock.Millis, outcome dispatch.OutcomeKind) {
+	e := c.engine
+	if e.deps.PublishCrash == nil || (outcome != dispatch.Unavailable && outcome != dispatch.TimedOut) {
+		return
 	}
 	if now-e.crashes.windowStart >= clock.Second {
 		e.crashes.windowStart, e.crashes.published = now, 0
 	}
-	if e.crashes.published < maxCrashReportsPerSecond && e.deps.PublishCrash != nil {
+	for _, id := range c.lostReplicas {
+		if e.crashes.published == maxCrashReportsPerSecond {
+			return
+		}
 		e.crashes.published++
-		e.deps.PublishCrash(f, lost)
+		e.deps.PublishCrash(c.request.fingerprint(), id)
 	}
 }
 
--- a/entry/routing/delegation.go
+++ b/entry/routing/delegation.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -160,7 +159,9 @@
 		c.delegatedPart.Covered = append(c.delegatedPart.Covered, part.Covered...)
 		c.delegatedPart.Seals = append(c.delegatedPart.Seals, part.Seals...)
 		c.delegatedPart.Records = append(c.delegatedPart.Records, part.Records...)
-		c.delegatedPart.LostReplica = cmp.Or(c.delegatedPart.LostReplica, part.LostReplica)
+		if part.LostReplica != "" {
+			c.suspect(now, part.LostReplica)
+		}
 		result := fmt.Sprintf("%d parts", len(c.delegatedPart.Covered))
 		if len(c.delegatedPart.Covered) == len(action.Shards()) {
 			result = "ok"
--- a/entry/routing/log_test.go
+++ b/entry/routing/log_test.go
@@ -135,10 +135,14 @@
 }
 
 func (l *loggedEngine) serve(ctx context.Context, id string) Answer {
-	r, refused := l.MatchRoute("h", "/a")
+	return l.serveTarget(ctx, id, "/a")
+}
+
+func (l *loggedEngine) serveTarget(ctx context.Context, id, target string) Answer {
+	r, refused := l.MatchRoute("h", target)
 	require.NotNil(l.t, r, refused.Reason())
 	return l.Serve(ctx, r, Request{
-		ID: id, Method: http.MethodGet, Target: "/a", Host: "h", Header: http.Header{"Id": {id}}, Deadline: 2400,
+		ID: id, Method: http.MethodGet, Target: target, Host: "h", Header: http.Header{"Id": {id}}, Deadline: 2400,
 	})
 }
 
