routing: reports of peers do not quarantine a request

After some replicas had crashed at once, callers got 503 for ten minutes for a harmless request that many of them send alike, on all daemons.

Cause: a daemon does not blame a request for losses of attempts sent before the first loss, but for a report of a peer it took the time of arrival for that of sending.

Change: a report makes the request a suspect. A daemon confirms by a loss of its own, of an attempt that began outageSpread after it knew of the first, and publishes the quarantine itself. The delay keeps retries that meet the same outage from confirming.

--- a/entry/gateway/crashes.go
+++ b/entry/gateway/crashes.go
@@ -8,11 +8,14 @@
 	"github.com/lovagegap/lovagegap/core/quarantine"
 )
 
+// Kinds of the records that the daemons publish about requests that crash replicas.
 const (
-	crashRecordKind     = "crash"
-	crashRecordLifetime = clock.Minute
+	crashRecordKind      = "crash"
+	quarantineRecordKind = "quarantine"
 )
 
+const crashRecordLifetime = clock.Minute
+
 // publishCrash reports to all daemons that a request may have crashed a replica. The
 // engine calls it with its lock held. The tracker calls functions that take that lock,
 // so publishCrash must not wait for the tracker.
@@ -20,22 +23,39 @@
 	go g.tracker.Publish(newCrashRecord(f.String()+"/"+replica, replica))
 }
 
+// publishQuarantine tells all daemons that a request is quarantined. Like publishCrash,
+// it must not wait for the tracker.
+func (g *Gateway) publishQuarantine(f quarantine.Fingerprint, left clock.Millis) {
+	go g.tracker.Publish(newQuarantineRecord(f.String(), left))
+}
+
 // newCrashRecord returns the record of a crash. The key is the fingerprint in
 // hexadecimal, a slash and the replica, so that each replica counts once.
 func newCrashRecord(key, replica string) fleet.Record {
 	return fleet.NewRecord(crashRecordKind, key, 1, []byte(replica), crashRecordLifetime)
 }
 
-// handleRecord passes a crash record of a peer to the engine, and ignores malformed
-// ones and those of other kinds. The tracker calls it with its lock held.
+// newQuarantineRecord returns the record of a quarantined request, which lasts as long
+// as the quarantine. The key is the fingerprint in hexadecimal.
+func newQuarantineRecord(key string, left clock.Millis) fleet.Record {
+	return fleet.NewRecord(quarantineRecordKind, key, 1, nil, left)
+}
+
+// handleRecord passes a record of a peer to the engine, and ignores malformed ones and
+// those of other kinds. The tracker calls it with its lock held.
 func (g *Gateway) handleRecord(record fleet.Record) {
-	if record.Kind() != crashRecordKind || len(record.Key()) <= len(record.Body())+1 {
-		return
-	}
-	text := record.Key()[:len(record.Key())-len(record.Body())-1]
-	f, err := strconv.ParseUint(text, 16, 64)
-	if err != nil {
-		return
+	switch record.Kind() {
+	case crashRecordKind:
+		if len(record.Key()) <= len(record.Body())+1 {
+			return
+		}
+		text := record.Key()[:len(record.Key())-len(record.Body())-1]
+		if f, err := strconv.ParseUint(text, 16, 64); err == nil {
+			g.engine.ReceiveCrash(quarantine.Fingerprint(f), string(record.Body()))
+		}
+	case quarantineRecordKind:
+		if f, err := strconv.ParseUint(record.Key(), 16, 64); err == nil {
+			g.engine.ReceiveQuarantine(quarantine.Fingerprint(f), record.Lifetime())
+		}
 	}
-	g.engine.ReceiveCrash(quarantine.Fingerprint(f), string(record.Body()))
 }
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -139,7 +139,7 @@
 		Clock: dependencies.Clock, Log: g.log.WithName("routing"), DataCentre: config.DataCentre,
 		Names: config.ReplicaHeaders, Random: deriveGenerator(dependencies.Random), Budget: config.RetryBudget,
 		Meter: dependencies.Meter, LogRoutine: dependencies.LogRoutineDecision, PublishCrash: g.publishCrash,
-		Delegates: g.delegates,
+		PublishQuarantine: g.publishQuarantine, Delegates: g.delegates,
 	})
 	g.tracker = membership.New(membership.Dependencies{
 		Clock: dependencies.Clock, Log: g.log.WithName("roster"), Self: self, Random: deriveGenerator(dependencies.Random),
--- a/entry/gateway/mirror_syncer_test.go
+++ b/entry/gateway/mirror_syncer_test.go
@@ -99,6 +99,7 @@
 	g := newTestGateway(t)
 	for _, key := range []string{"", "x", "zz/i-1", "/i-1", "12"} {
 		g.handleRecord(newCrashRecord(key, "i-1"))
+		g.handleRecord(newQuarantineRecord(key, clock.Minute))
 	}
 	for _, id := range []string{"i-1", "i-2"} {
 		g.handleRecord(newCrashRecord("12/"+id, id))
--- a/entry/routing/crash.go
+++ b/entry/routing/crash.go
@@ -18,13 +18,19 @@
 	// maxCrashReportsPerSecond limits the reports to peers: when many replicas crash
 	// at once, most of the requests that they were running did not cause it.
 	maxCrashReportsPerSecond = 20
+	// outageSpread is the time within which replicas that fail together are lost. The
+	// loss of a replica to which a request was sent earlier than that after the first
+	// loss does not confirm that the request causes them.
+	outageSpread = 250 * clock.Millisecond
 )
 
 // crashTracker quarantines requests that may crash replicas. Requests with the same
 // method, host, target and body count as the same request, whichever caller sends
 // them to whichever daemon. A request is blocked once two attempts, at different
 // replicas, have ended with a lost connection and without an answer. The second one must
-// have used a new connection.
+// be this daemon's own, over a new connection, and begin outageSpread after this daemon
+// learned of the first loss. When many replicas fail together, requests that all
+// callers send alike are in flight on several of them, and each daemon reports its own.
 type crashTracker struct {
 	quarantine  quarantine.List
 	published   int // reports in the current window of one second
@@ -62,10 +68,21 @@
 	case replica.Lost:
 		c.lostReplicas = append(c.lostReplicas, id)
 		f := c.request.fingerprint()
-		if e.crashes.quarantine.RecordCrash(now, f, upstream.ID(id), sent) {
-			e.deps.Log.Info("request quarantined", "fingerprint", f.String(), "replica", id, "request", c.request.ID)
+		if e.crashes.quarantine.RecordCrash(now, f, upstream.ID(id), sent-outageSpread) {
 			c.machine.ForbidRepeats()
 		}
+		e.publishQuarantined(now)
+	}
+}
+
+// publishQuarantined sends the requests that this daemon has quarantined to the peers.
+// The caller holds the lock.
+func (e *Engine) publishQuarantined(now clock.Millis) {
+	for _, entry := range e.crashes.quarantine.TakeChanges() {
+		e.deps.Log.Info("request quarantined", "fingerprint", entry.Fingerprint().String(), "replicas", entry.Evidence())
+		if e.deps.PublishQuarantine != nil {
+			e.deps.PublishQuarantine(entry.Fingerprint(), entry.End()-now)
+		}
 	}
 }
 
@@ -101,13 +118,24 @@
 	}
 }
 
-// ReceiveCrash counts a crash that a peer observed. It does not publish it again.
+// ReceiveCrash takes a report of a peer that a request may have crashed a replica. The
+// request becomes a suspect. The report does not say when the request was sent, so any
+// number of reports may be due to one outage, and they do not block it.
 func (e *Engine) ReceiveCrash(f quarantine.Fingerprint, lost string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashes.quarantine.Suspect(e.deps.Clock.Now(), f, upstream.ID(lost))
+}
+
+// ReceiveQuarantine blocks a request that a peer has quarantined, for the time that is
+// left.
+func (e *Engine) ReceiveQuarantine(f quarantine.Fingerprint, left clock.Millis) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.deps.Clock.Now()
-	if e.crashes.quarantine.RecordCrash(now, f, upstream.ID(lost), now) {
-		e.deps.Log.Info("request quarantined", "fingerprint", f.String(), "replica", lost, "told", "by a peer")
+	if e.crashes.quarantine.ReceiveEntry(now, quarantine.NewEntry(f, nil, now+left)) {
+		e.deps.Log.Info("request quarantined", "fingerprint", f.String(), "told", "by a peer")
+		e.crashes.quarantine.TakeChanges() // the record of the peer reaches all daemons
 	}
 }
 
