routing: the test of the log lines lets outageSpread pass between crashes

TestLogLineForRequestsThatReachNoReplica sent ten crashing requests within some milliseconds. Since outageSpread a later one confirms, so the test waits between them; it still requires the line within the same ten requests.

--- a/entry/routing/log_test.go
+++ b/entry/routing/log_test.go
@@ -287,6 +287,7 @@
 	l.serve(t.Context(), "r2")
 	l.startReplica("s0", "i-lost-too", closeConnection)
 	for n := 0; n < 10 && l.findLine("request quarantined") == nil; n++ {
+		time.Sleep((outageSpread / 4).Duration())
 		l.serve(t.Context(), "r3")
 	}
 	require.NotNil(t, l.findLine("request quarantined"))
