frontend: no answer to a caller that has left

A caller that closed its sending side and read on got a 200 with an empty body.

Cause: the request counts as cancelled, the handler returned without an answer, and net/http then sends 200 with a length of 0.

Change: the handler aborts the connection.

--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -167,10 +167,11 @@
 	return header
 }
 
-// writeAnswer sends the answer.
+// writeAnswer sends the answer. It aborts the connection of a caller that has left: one that
+// has closed only its sending side would read a return without an answer as a success.
 func (h *Handler) writeAnswer(w http.ResponseWriter, r *http.Request, answer routing.Answer) {
 	if answer.CallerGone() {
-		return
+		panic(http.ErrAbortHandler)
 	}
 	header := w.Header()
 	var body []byte
--- a/entry/frontend/limits_test.go
+++ b/entry/frontend/limits_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -38,7 +39,8 @@
 
 func newDaemon(t *testing.T) *daemon {
 	d := &daemon{t: t, engine: routing.New(routing.Dependencies{
-		Log: logr.Discard(), Names: exchange.HeaderNames{}, Random: rand.New(rand.NewPCG(1, 2)),
+		Log: logr.Discard(), Names: exchange.HeaderNames{RequestID: "Id", Deadline: "Left", ExpectInstance: "Expect-Id", NotRun: "Not-Run", Seal: "Seal"},
+		Random: rand.New(rand.NewPCG(1, 2)),
 		Budget: replica.BudgetPolicy{Window: clock.Second}, Meter: &telemetry.Routes{},
 	})}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -64,6 +66,20 @@
 	d.engine.ApplyUpdates([]routing.StoreUpdate{{Table: table}})
 }
 
+// startReplica starts the replica of the route. The channel gets a value for each request
+// that arrives.
+func (d *daemon) startReplica(reply http.HandlerFunc) <-chan struct{} {
+	arrived := make(chan struct{}, 16)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		reply(w, r)
+	}))
+	d.t.Cleanup(server.CloseClientConnections)
+	entry := replica.NewEntry(replica.Spec{ID: "i", Service: "s", Address: server.Listener.Addr().String()})
+	d.engine.ApplyUpdates([]routing.StoreUpdate{{Replica: &entry}})
+	return arrived
+}
+
 // caller is a connection to the daemon.
 type caller struct {
 	net.Conn
@@ -140,6 +156,29 @@
 	assert.Equal(t, noReplica, raised.status(small), "idle for longer than the previous idle timeout")
 }
 
+// Guards against a success without the replica's reply for a caller that closes its
+// sending side while the request runs: it counts as gone, and must not get an answer.
+func TestHalfClosedCallerGetsNoSuccess(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			d := newDaemon(t)
+			d.limit(0, 0, 0, 0)
+			arrived := d.startReplica(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+			c := d.dial()
+			_, err := io.WriteString(c, method+" /a HTTP/1.1\r\nHost: h\r\nLeft: 5000\r\nContent-Length: 0\r\n\r\n")
+			require.NoError(t, err)
+			select {
+			case <-arrived:
+			case <-time.After(5 * time.Second):
+				require.Fail(t, "the request has not reached the replica")
+			}
+			require.NoError(t, c.Conn.(*net.TCPConn).CloseWrite())
+			text, _ := io.ReadAll(c)
+			assert.NotContains(t, string(text), " 200 ")
+		})
+	}
+}
+
 // Guards against a caller that sends part of a body and so occupies the daemon for ever.
 func TestIncompleteBodyIsAnswered(t *testing.T) {
 	d := newDaemon(t)
