body: the reply to HEAD is complete without a body

Callers of HEAD got 502 if the replica stated a length, and the replica counted as failing.

Cause: the reader of bodies compared the bytes read with the stated length, also where HTTP allows no body (HEAD, 304).

Change: such a body is complete; the answer to HEAD keeps the replica's length.

Evidence: TestReplyWithoutBodyIsComplete (garbled for ok) and TestHeadIsPassedOn (502) failed before.

--- a/entry/body/body.go
+++ b/entry/body/body.go
@@ -103,6 +103,9 @@
 // returns; memory may be nil. Read does not close the body: Close would read the rest
 // of an oversized one.
 func Read(response *http.Response, maxBytes int64, memory *Memory) ([]byte, error) {
+	if response.Body == http.NoBody {
+		return nil, nil // the length, as in the reply to HEAD, is that of no body
+	}
 	size := response.ContentLength
 	if size > maxBytes {
 		return nil, ErrOversized
--- a/entry/exchange/exchange_test.go
+++ b/entry/exchange/exchange_test.go
@@ -156,6 +156,28 @@
 	}
 }
 
+// Guards against replies without a body that count as cut short because they state the
+// length that the body would have, and so as a crash of the replica.
+func TestReplyWithoutBodyIsComplete(t *testing.T) {
+	const head = "Id: r1\r\nSeal: s\r\nContent-Length: 12\r\n\r\n"
+	for _, c := range []struct{ method, reply string }{
+		{http.MethodHead, "HTTP/1.1 200 OK\r\n" + head},
+		{http.MethodGet, "HTTP/1.1 304 Not Modified\r\n" + head},
+	} {
+		s := newScriptedReplica(t, c.reply, c.reply)
+		client := NewClient(clock.Clock{}, headerNames)
+		for range 2 {
+			spec := s.spec("r1")
+			spec.Method = c.method
+			reply, result := run(t, client, spec)
+			require.Equal(t, replica.OK.String(), result.String(), c.method)
+			assert.Empty(t, reply.Body())
+			assert.Equal(t, "12", reply.Header().Get("Content-Length"))
+		}
+		assert.EqualValues(t, 1, client.Opened(), "the connection is reused")
+	}
+}
+
 // Guards against a success from a replica whose connection is reset in a body without a
 // length.
 func TestResetReplyIsNoSuccess(t *testing.T) {
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -188,7 +188,11 @@
 	if h.lifecycle.Leaving() {
 		header.Set("Connection", "close")
 	}
-	header.Set("Content-Length", strconv.Itoa(len(body)))
+	if r.Method != http.MethodHead || answer.Reply() == nil {
+		header.Set("Content-Length", strconv.Itoa(len(body)))
+	} else if length := answer.Reply().Header().Get("Content-Length"); length != "" {
+		header.Set("Content-Length", length)
+	}
 	w.WriteHeader(answer.Status())
 	_, _ = w.Write(body)
 }
--- a/entry/frontend/limits_test.go
+++ b/entry/frontend/limits_test.go
@@ -179,6 +179,26 @@
 	}
 }
 
+// Guards against a HEAD request that is answered 502, or with a length other than that
+// of the body which the replica would send.
+func TestHeadIsPassedOn(t *testing.T) {
+	d := newDaemon(t)
+	d.limit(0, 0, 0, 0)
+	d.startReplica(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Seal", "proof")
+		w.Header().Set("Content-Length", "12")
+	})
+	request, err := http.NewRequest(http.MethodHead, "http://"+d.address+"/a", nil)
+	require.NoError(t, err)
+	request.Host = "h"
+	reply, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer reply.Body.Close()
+	assert.Equal(t, http.StatusOK, reply.StatusCode)
+	assert.EqualValues(t, 12, reply.ContentLength)
+}
+
 // Guards against a caller that sends part of a body and so occupies the daemon for ever.
 func TestIncompleteBodyIsAnswered(t *testing.T) {
 	d := newDaemon(t)
