exchange: the state of a connection is not read after its release

A data race that the review saw with a daemon built with -race: Exchange.Run read replyBegun of a connection that it had released and another exchange already used, so that a run of silent connections could be counted wrongly.

Change: both fields are read before the release.

--- a/entry/exchange/exchange.go
+++ b/entry/exchange/exchange.go
@@ -176,6 +176,8 @@
 		return nil, replica.Abandoned
 	}
 	reply, result, reusable := x.roundTrip(c)
+	// Once released, the connection belongs to the exchange that uses it next.
+	reused, replyBegun := c.reused, c.replyBegun
 	abandoned := x.detach()
 	if reusable {
 		_ = c.SetDeadline(time.Time{})
@@ -184,9 +186,9 @@
 		_ = c.Close()
 	}
 	switch {
-	case c.replyBegun:
+	case replyBegun:
 		x.client.recordReply(x.spec.Address)
-	case c.reused && result == replica.Silent:
+	case reused && result == replica.Silent:
 		x.client.recordSilence(x.spec.Address)
 	}
 	if abandoned && result != replica.OK && !result.NotRun() {
--- a/entry/exchange/exchange_test.go
+++ b/entry/exchange/exchange_test.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -156,6 +158,29 @@
 	}
 }
 
+// Guards against a data race: an exchange that reads the state of its connection after
+// another one has taken the connection over. It fails under the race detector only.
+func TestReleasedConnectionIsNotRead(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Seal", "s")
+	}))
+	t.Cleanup(server.Close)
+	client := NewClient(clock.Clock{}, headerNames)
+	t.Cleanup(client.Close)
+	s := &scriptedReplica{listener: server.Listener}
+	var exchanges sync.WaitGroup
+	for range 8 {
+		exchanges.Go(func() {
+			for range 100 {
+				_, result := client.NewExchange(s.spec("r1")).Run()
+				assert.Equal(t, replica.OK, result)
+			}
+		})
+	}
+	exchanges.Wait()
+}
+
 // Guards against replies without a body that count as cut short because they state the
 // length that the body would have, and so as a crash of the replica.
 func TestReplyWithoutBodyIsComplete(t *testing.T) {
