socket: a signal does not end a sound idle connection

Requests opened a new connection now and then although a kept one was sound.

Cause: the probe polls the socket, and a pending signal of the runtime fails poll with EINTR, which the probe took for unread bytes.

Change: it polls again.

--- a/entry/socket/socket_linux.go
+++ b/entry/socket/socket_linux.go
@@ -24,6 +24,11 @@
 	poll := func(fd uintptr) {
 		pollFds[0] = unix.PollFd{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}
 		n, err := unix.Poll(pollFds[:], 0)
+		for err == unix.EINTR {
+			// The signals by which the runtime preempts goroutines interrupt it, also
+			// with a timeout of 0.
+			n, err = unix.Poll(pollFds[:], 0)
+		}
 		switch {
 		case err != nil:
 			state = UnreadData
