--- a/entry/exchange/exchange.go
+++ b/entry/exchange/exchange.go
@@ -104,6 +104,12 @@
 // "".
 func (r *Reply) Seal() string { return r.seal }
 
+// Sealed reports whether the replica proves that it produced the reply, and its body
+// unless the reply is an error.
+func (r *Reply) Sealed() bool {
+	return r.seal != "" && (r.status >= http.StatusMultipleChoices || r.header.Get("Content-Encoding") == "")
+}
+
 // Notices returns what the reply states about the replica.
 func (r *Reply) Notices() replica.Notices { return r.notices }
 
@@ -257,8 +263,8 @@
 	return append(b, "\r\n"...)
 }
 
-// classify returns the result for a complete reply. A success without a seal, or with a
-// Content-Encoding, is a failure.
+// classify returns the result for a complete reply. One without a seal comes from no
+// replica, and a success with a Content-Encoding is not its body.
 func (x *Exchange) classify(reply *Reply) replica.Result {
 	headers := &x.client.headers
 	switch {
@@ -269,7 +275,7 @@
 	case reply.status >= http.StatusInternalServerError,
 		x.spec.RequireSuccess && reply.status >= http.StatusMultipleChoices:
 		return replica.Failed
-	case reply.status < http.StatusMultipleChoices && (reply.seal == "" || reply.header.Get("Content-Encoding") != ""):
+	case !reply.Sealed():
 		return replica.Failed
 	default:
 		return replica.OK
--- a/entry/exchange/exchange_test.go
+++ b/entry/exchange/exchange_test.go
@@ -90,23 +90,25 @@
 		result replica.Result
 		body   string
 	}{
-		"complete":              {completeReply, replica.OK, "body"},
-		"chunked":               {"HTTP/1.1 200 OK\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", replica.OK, "body"},
-		"until the end":         {"HTTP/1.1 200 OK\r\nSeal: s\r\n\r\nbody!", replica.OK, "body"},
-		"after another answer":  {"HTTP/1.1 200 OK\r\nId: r0\r\nSeal: s\r\nContent-Length: 3\r\n\r\nold" + completeReply, replica.OK, "body"},
-		"with an informational": {"HTTP/1.1 103 Early Hints\r\n\r\n" + completeReply, replica.OK, "body"},
-		"client error":          {"HTTP/1.1 404 Not Found\r\nSeal: s\r\nContent-Length: 0\r\n\r\n", replica.OK, ""},
-		"no seal":               {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", replica.Failed, "body"},
-		"encoded":               {"HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody", replica.Failed, "body"},
-		"server error":          {"HTTP/1.1 500 Oops\r\nSeal: s\r\nContent-Length: 0\r\n\r\n", replica.Failed, ""},
-		"refused":               {"HTTP/1.1 503 Full\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n", replica.Shed, ""},
-		"foreign":               {"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n", replica.Foreign, ""},
-		"cut body":              {"HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Length: 9\r\n\r\nbody!", replica.Lost, ""},
-		"cut header":            {"HTTP/1.1 200 OK\r\nSe!", replica.Lost, ""},
-		"not HTTP":              {"\x00\x01\x02\r\n\r\n!", replica.Garbled, ""},
-		"closed":                {"!", replica.Lost, ""},
-		"silent":                {"", replica.Silent, ""},
-		"only other answers":    {strings.Repeat(strings.ReplaceAll(completeReply, "r1", "r0"), maxReplies), replica.Garbled, ""},
+		"complete":                             {completeReply, replica.OK, "body"},
+		"chunked":                              {"HTTP/1.1 200 OK\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", replica.OK, "body"},
+		"until the end":                        {"HTTP/1.1 200 OK\r\nSeal: s\r\n\r\nbody!", replica.OK, "body"},
+		"after another answer":                 {"HTTP/1.1 200 OK\r\nId: r0\r\nSeal: s\r\nContent-Length: 3\r\n\r\nold" + completeReply, replica.OK, "body"},
+		"with an informational":                {"HTTP/1.1 103 Early Hints\r\n\r\n" + completeReply, replica.OK, "body"},
+		"client error":                         {"HTTP/1.1 404 Not Found\r\nSeal: s\r\nContent-Length: 0\r\n\r\n", replica.OK, ""},
+		"no seal":                              {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", replica.Failed, "body"},
+		"error of a server that is no replica": {"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", replica.Failed, ""},
+		"redirect of a server that is no replica": {"HTTP/1.1 302 Found\r\nContent-Length: 0\r\n\r\n", replica.Failed, ""},
+		"encoded":            {"HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody", replica.Failed, "body"},
+		"server error":       {"HTTP/1.1 500 Oops\r\nSeal: s\r\nContent-Length: 0\r\n\r\n", replica.Failed, ""},
+		"refused":            {"HTTP/1.1 503 Full\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n", replica.Shed, ""},
+		"foreign":            {"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n", replica.Foreign, ""},
+		"cut body":           {"HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Length: 9\r\n\r\nbody!", replica.Lost, ""},
+		"cut header":         {"HTTP/1.1 200 OK\r\nSe!", replica.Lost, ""},
+		"not HTTP":           {"\x00\x01\x02\r\n\r\n!", replica.Garbled, ""},
+		"closed":             {"!", replica.Lost, ""},
+		"silent":             {"", replica.Silent, ""},
+		"only other answers": {strings.Repeat(strings.ReplaceAll(completeReply, "r1", "r0"), maxReplies), replica.Garbled, ""},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -317,20 +319,17 @@
 	s := newScriptedReplica(t, completeReply, "")
 	client := NewClient(clock.Clock{}, headerNames)
 	const open = 5
-	var exchanges []*Exchange
+	var connections []*conn
 	for range open {
-		x := client.NewExchange(s.spec("r1"))
-		exchanges = append(exchanges, x)
-	}
-	results := make(chan replica.Result, open)
-	for _, x := range exchanges {
-		go func() {
-			_, result := x.Run()
-			results <- result
-		}()
+		c, err := client.acquire(s.listener.Addr().String(), true, time.Now().Add(time.Second))
+		require.NoError(t, err)
+		_, result, reusable := client.NewExchange(s.spec("r1")).roundTrip(c)
+		require.Equal(t, replica.OK, result)
+		require.True(t, reusable)
+		connections = append(connections, c)
 	}
-	for range open {
-		require.Equal(t, replica.OK, <-results)
+	for _, c := range connections {
+		client.release(s.listener.Addr().String(), c, false)
 	}
 	for range silentLimit {
 		spec := s.spec("r1")
--- a/entry/routing/call.go
+++ b/entry/routing/call.go
@@ -267,13 +267,13 @@
 // it. The value is the one that nginx uses.
 const statusCallerGone = 499
 
-// answerFromReply passes a replica's reply on. It replaces a success that has no seal
-// or is compressed, and the statuses by which a daemon promises that a request has
+// answerFromReply passes a replica's reply on. It replaces a reply below status 500 that
+// has no seal, a compressed success, and the statuses by which a daemon promises that a request has
 // not run: the replica may have run it.
 func answerFromReply(reply *exchange.Reply) Answer {
 	status := reply.Status()
 	switch {
-	case status < http.StatusMultipleChoices && (reply.Seal() == "" || reply.Header().Get("Content-Encoding") != ""),
+	case status < http.StatusInternalServerError && !reply.Sealed(),
 		status == http.StatusServiceUnavailable, status == http.StatusTooManyRequests,
 		status == http.StatusRequestTimeout, status == http.StatusMisdirectedRequest:
 		return Answer{
