replica: an address goes back when the entry that took it is gone

After entries of another writer with the addresses of a service's replicas, its callers got 503 for good, although the entries were gone and all replicas sound.

Cause: the entry that came last took its address, whatever its service, and the mark on the replica that had it before went only with a change of that replica's own entry.

Change: a Set keeps all replicas listed with an address and assigns it anew when one comes or goes, when another process answers, and with each configuration: to one of a named service, then to the one that started last.

--- a/core/replica/observation.go
+++ b/core/replica/observation.go
@@ -76,7 +76,7 @@
 		}
 		if now-r.lastFailureRateAt < observationMaxAge {
 			o.failureRate = r.failureRate(now)
-			if r.displaced {
+			if r.replaced() {
 				o.failureRate = 1
 			}
 		}
--- a/core/replica/pick.go
+++ b/core/replica/pick.go
@@ -101,7 +101,7 @@
 	var lastResort candidate
 	atLimit := false
 	for _, r := range p.replicas {
-		if r.displaced || slices.Contains(criteria.tried, r) ||
+		if r.replaced() || slices.Contains(criteria.tried, r) ||
 			slices.Contains(p.set.outOfService, r.entry.DataCentre()) || !criteria.allows(r) {
 			continue
 		}
@@ -257,7 +257,7 @@
 	wait := clock.Second // the list of replicas is read again by then
 	for _, r := range p.replicas {
 		switch {
-		case r.displaced || r.draining() || slices.Contains(p.set.outOfService, r.entry.DataCentre()):
+		case r.replaced() || r.draining() || slices.Contains(p.set.outOfService, r.entry.DataCentre()):
 		case now < r.retryAt:
 			wait = min(wait, r.retryAt-now)
 		case r.Held(now):
--- a/core/replica/pool.go
+++ b/core/replica/pool.go
@@ -17,11 +17,12 @@
 	dataCentre   string
 	regions      map[string]string // region of each data centre
 	random       *rand.Rand
-	pools        map[string]*Pool    // by service
-	replicas     map[string]*Replica // by id
-	byAddress    map[string]*Replica // the replica listed last with the address
-	outOfService []string            // data centres
-	daemonCount  int                 // at least 1
+	pools        map[string]*Pool      // by service
+	replicas     map[string]*Replica   // by id
+	byAddress    map[string][]*Replica // in the order of their last entries
+	services     map[string]bool       // that the configuration names; nil before there is one
+	outOfService []string              // data centres
+	daemonCount  int                   // at least 1
 	budget       BudgetPolicy
 }
 
@@ -39,7 +40,7 @@
 	return &Set{
 		dataCentre: dataCentre, random: random, daemonCount: 1, budget: budget,
 		pools: make(map[string]*Pool), replicas: make(map[string]*Replica),
-		byAddress: make(map[string]*Replica),
+		byAddress: make(map[string][]*Replica),
 	}
 }
 
@@ -81,6 +82,21 @@
 		s.budget.Window, s.budget.ProcessStart)
 }
 
+// SetServices sets the services that the configuration names. Entries of other services
+// name no replica: they take no address over. They are kept, since a later configuration
+// may name the service.
+func (s *Set) SetServices(services []string) {
+	s.services = make(map[string]bool, len(services))
+	for _, service := range services {
+		s.services[service] = true
+	}
+	for address, listed := range s.byAddress {
+		if len(listed) > 1 {
+			s.assignAddress(address)
+		}
+	}
+}
+
 // SetOutOfService sets the data centres whose replicas are not picked. It keeps the
 // slice.
 func (s *Set) SetOutOfService(dataCentres []string) { s.outOfService = dataCentres }
@@ -145,7 +161,9 @@
 	}
 	r.entry = e
 	s.locate(r)
-	s.claimAddress(r)
+	r.foreign = false
+	s.byAddress[e.Address()] = append(withoutReplica(s.byAddress[e.Address()], r), r)
+	s.assignAddress(e.Address())
 	if e.spec.ColdFor > 0 {
 		if !r.Cold(now) && change == "" {
 			change = changeCold
@@ -157,13 +175,40 @@
 	return change
 }
 
-// claimAddress marks the replica that had the address before as displaced.
-func (s *Set) claimAddress(r *Replica) {
-	if before := s.byAddress[r.entry.Address()]; before != nil && before != r {
-		before.displaced = true
+// assignAddress determines which of the replicas that are listed with an address has it,
+// and marks the others as displaced. Of two, the one that started later has it, or the
+// one whose entry came later if neither did. A replica at whose address another one
+// answered, or of a service that the configuration does not name, has it only if there
+// is no other one.
+func (s *Set) assignAddress(address string) {
+	var owner *Replica
+	for _, r := range s.byAddress[address] {
+		if owner == nil || cmp.Or(
+			cmpBool(!r.foreign, !owner.foreign),
+			cmpBool(s.names(r), s.names(owner)),
+			cmp.Compare(r.entry.Incarnation(), owner.entry.Incarnation()),
+		) >= 0 {
+			owner = r
+		}
+	}
+	for _, r := range s.byAddress[address] {
+		r.displaced = r != owner
+	}
+}
+
+// names reports whether the configuration names the service of a replica.
+func (s *Set) names(r *Replica) bool { return s.services == nil || s.services[r.entry.Service()] }
+
+// cmpBool compares two conditions; true is greater.
+func cmpBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
 	}
-	s.byAddress[r.entry.Address()] = r
-	r.displaced = false
 }
 
 // Remove removes a replica that is no longer listed, and reports whether it was
@@ -174,13 +219,21 @@
 		return false
 	}
 	delete(s.replicas, id)
-	if s.byAddress[r.entry.Address()] == r {
-		delete(s.byAddress, r.entry.Address())
+	address := r.entry.Address()
+	s.byAddress[address] = withoutReplica(s.byAddress[address], r)
+	if len(s.byAddress[address]) == 0 {
+		delete(s.byAddress, address)
 	}
-	r.pool.replicas = slices.DeleteFunc(r.pool.replicas, func(x *Replica) bool { return x == r })
+	s.assignAddress(address)
+	r.pool.replicas = withoutReplica(r.pool.replicas, r)
 	return true
 }
 
+// withoutReplica removes a replica from a list, in place.
+func withoutReplica(list []*Replica, r *Replica) []*Replica {
+	return slices.DeleteFunc(list, func(x *Replica) bool { return x == r })
+}
+
 // CountByState returns the number of replicas in each state. A replica counts in
 // the first state that applies of draining, leaving (by its replies), displaced,
 // unreachable, held (it wants no request for a time), out (its data centre is out of
@@ -238,7 +291,7 @@
 		return "draining"
 	case r.leaving, now < r.peerLeavingUntil:
 		return "leaving"
-	case r.displaced:
+	case r.replaced():
 		return "displaced"
 	case now < r.retryAt:
 		return "unreachable"
@@ -380,9 +433,12 @@
 	return work / clock.Millis(max(slots, minBacklogSlots))
 }
 
+// replaced reports whether another process has the address of the replica.
+func (r *Replica) replaced() bool { return r.displaced || r.foreign }
+
 // usable reports whether the replica may be picked, apart from its limits.
 func (r *Replica) usable(now clock.Millis) bool {
-	return !r.displaced && !r.draining() && now >= r.peerLeavingUntil && !r.Held(now) && now >= r.retryAt &&
+	return !r.replaced() && !r.draining() && now >= r.peerLeavingUntil && !r.Held(now) && now >= r.retryAt &&
 		!slices.Contains(r.pool.set.outOfService, r.entry.DataCentre())
 }
 
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -184,10 +184,10 @@
 // Replica is a listed replica with the evidence about it. It is not safe for
 // concurrent use.
 type Replica struct {
-	entry Entry
-	pool  *Pool
-	// displaced means that another replica has taken over the address.
-	displaced bool
+	entry     Entry
+	pool      *Pool
+	displaced bool   // another listed replica has the address
+	foreign   bool   // another process answered at the address since the entry last changed
 	region    string // "" if unknown
 	distance  distance
 
@@ -265,7 +265,8 @@
 		r.updateFailureRate(now, shedWeight)
 		r.sheddingUntil = now + max(expected, minSheddingTime)
 	case Foreign:
-		r.displaced = true
+		r.foreign = true
+		r.pool.set.assignAddress(r.entry.Address())
 		r.lastFailureRateAt = now
 	case NotConnected:
 		r.startBackoff(now)
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -245,6 +245,50 @@
 	assert.Contains(t, s.Observations(22), NewObservation("old", 1, 1), "peers are informed")
 }
 
+// Guards against replicas that get no requests any more because another writer has listed
+// their addresses, and against those of a service that a later configuration names.
+func TestEntryOfUnknownServiceTakesNoAddress(t *testing.T) {
+	s := newTestSet()
+	s.SetServices([]string{"s"})
+	put(s, 0, entry("own", "a"))
+	other := entry("other", "a")
+	other.Service, other.Address, other.Incarnation = "unknown", "own", 7
+	put(s, 10, other)
+	assert.Equal(t, "own", pickID(t, s, 10))
+
+	s.SetServices([]string{"s", "unknown"})
+	_, err := s.Pool("s").Pick(20, NewCriteria(expectedLatency, nil))
+	assert.ErrorIs(t, err, ErrNoneUsable, "the other one started later")
+	r, err := s.Pool("unknown").Pick(20, NewCriteria(expectedLatency, nil))
+	require.NoError(t, err)
+	assert.Equal(t, "other", r.Entry().ID())
+	s.SetServices([]string{"s"})
+	assert.Equal(t, "own", pickID(t, s, 30))
+}
+
+// Guards against a replica that stays displaced after the entry that displaced it is gone,
+// and one that an older entry displaces, such as one that comes later in a listing.
+func TestAddressReturnsToItsReplica(t *testing.T) {
+	s := newTestSet()
+	own := entry("own", "a")
+	own.Incarnation = 5
+	put(s, 0, own)
+	for _, incarnation := range []int64{4, 5, 6} {
+		other := entry("other", "a")
+		other.Service, other.Address, other.Incarnation = "t", "own", incarnation
+		put(s, 10, other)
+		r, err := s.Pool("s").Pick(10, NewCriteria(expectedLatency, nil))
+		if incarnation < 5 {
+			require.NoError(t, err)
+			assert.Equal(t, "own", r.Entry().ID())
+		} else {
+			assert.ErrorIs(t, err, ErrNoneUsable)
+		}
+		s.Remove("other")
+		assert.Equal(t, "own", pickID(t, s, 20), "the other entry is gone")
+	}
+}
+
 // Guards against a daemon of a large fleet that never learns that a replica is slow or
 // silent, since each of its samples is older than the next one needs: two late answers in
 // a row are evidence, one alone is for a short time, and a good one ends it.
--- a/entry/routing/updates.go
+++ b/entry/routing/updates.go
@@ -78,6 +78,7 @@
 	}
 	e.table = table
 	e.highestPriorities = table.HighestPriorities()
+	e.replicas.SetServices(slices.Collect(maps.Keys(table.Services())))
 	for name, service := range table.Services() {
 		e.replicas.Pool(name).Configure(service.MaxConnections(), service.WarmupRate())
 	}
