quarantine: the spread of an outage is part of the list's rule

The decision stood in entry/routing as an earlier time of sending. No change of what happens; TestOutageSpreadSeparatesLosses tests the rule without exchanges.

--- a/core/quarantine/list.go
+++ b/core/quarantine/list.go
@@ -26,6 +26,7 @@
 type List struct {
 	journal        Journal
 	canaryDisabled bool
+	outageSpread   clock.Millis
 	suspects       map[Fingerprint]suspect
 	blocked        map[Fingerprint]Entry
 	changes        []Entry      // not yet returned by TakeChanges
@@ -59,6 +60,12 @@
 // SetCanaryEnabled enables or disables canary mode, which is enabled by default.
 func (l *List) SetCanaryEnabled(enabled bool) { l.canaryDisabled = !enabled }
 
+// SetOutageSpread sets the time within which upstreams that fail together are lost; it is
+// 0 by default. The loss of an upstream to which a request was sent within that time after
+// the first loss does not block its fingerprint: the retry of a harmless request may meet
+// another upstream of the same outage.
+func (l *List) SetOutageSpread(spread clock.Millis) { l.outageSpread = spread }
+
 // IsBlocked reports whether the fingerprint is quarantined, so that its requests must
 // be refused. It removes an entry that has ended.
 func (l *List) IsBlocked(now clock.Millis, f Fingerprint) bool {
@@ -107,7 +114,8 @@
 // RecordCrash records that the connection to an upstream was lost while a request with
 // the fingerprint, sent to it at the time sent, was in flight. It returns true if the
 // fingerprint is now blocked. Upstreams lost with requests that were all sent before
-// the first of these crashes are not sufficient evidence: when a data centre fails,
+// the first of these crashes, or within the outage spread after it, are not sufficient
+// evidence: when a data centre fails,
 // harmless requests are in flight on all of its upstreams. Only BlockIfConfirmed acts
 // on such crashes. A crash within completionValidity of a success does not count.
 func (l *List) RecordCrash(now clock.Millis, f Fingerprint, id upstream.ID, sent clock.Millis) bool {
@@ -118,7 +126,7 @@
 	if l.recentlyCompleted(now, f) {
 		return false
 	}
-	return sent >= l.addEvidence(now, f, id) && l.BlockIfConfirmed(now, f)
+	return sent >= l.addEvidence(now, f, id)+l.outageSpread && l.BlockIfConfirmed(now, f)
 }
 
 // Suspect records that an upstream may have crashed with the fingerprint in flight, on
--- a/core/quarantine/list_test.go
+++ b/core/quarantine/list_test.go
@@ -110,6 +110,17 @@
 	require.False(t, list.IsSuspect(8, f), "it has completed just before")
 }
 
+// Guards against a harmless request whose retry meets another upstream of the same outage,
+// lost some milliseconds later, and that is blocked for it.
+func TestOutageSpreadSeparatesLosses(t *testing.T) {
+	var list quarantine.List
+	list.SetOutageSpread(250)
+	require.False(t, list.RecordCrash(10, f, "a", 0))
+	require.False(t, list.RecordCrash(12, f, "b", 10))
+	require.False(t, list.RecordCrash(300, f, "c", 259))
+	require.True(t, list.RecordCrash(301, f, "d", 260))
+}
+
 // Guards against suspects and quarantined entries that never expire, or expire early.
 func TestSuspectAndQuarantineExpire(t *testing.T) {
 	var list quarantine.List
--- a/entry/routing/call.go
+++ b/entry/routing/call.go
@@ -268,8 +268,8 @@
 const statusCallerGone = 499
 
 // answerFromReply passes a replica's reply on. It replaces a reply below status 500 that
-// has no seal, a compressed success, and the statuses by which a daemon promises that a request has
-// not run: the replica may have run it.
+// has no seal, a compressed success, and the statuses by which a daemon promises that a
+// request has not run: the replica may have run it.
 func answerFromReply(reply *exchange.Reply) Answer {
 	status := reply.Status()
 	switch {
--- a/entry/routing/crash.go
+++ b/entry/routing/crash.go
@@ -18,9 +18,7 @@
 	// maxCrashReportsPerSecond limits the reports to peers: when many replicas crash
 	// at once, most of the requests that they were running did not cause it.
 	maxCrashReportsPerSecond = 20
-	// outageSpread is the time within which replicas that fail together are lost. The
-	// loss of a replica to which a request was sent earlier than that after the first
-	// loss does not confirm that the request causes them.
+	// outageSpread is the time within which replicas that fail together are lost.
 	outageSpread = 250 * clock.Millisecond
 )
 
@@ -68,7 +66,7 @@
 	case replica.Lost:
 		c.lostReplicas = append(c.lostReplicas, id)
 		f := c.request.fingerprint()
-		if e.crashes.quarantine.RecordCrash(now, f, upstream.ID(id), sent-outageSpread) {
+		if e.crashes.quarantine.RecordCrash(now, f, upstream.ID(id), sent) {
 			c.machine.ForbidRepeats()
 		}
 		e.publishQuarantined(now)
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -94,6 +94,7 @@
 		running:      make(map[*call]struct{}),
 	}
 	e.crashes.quarantine.SetCanaryEnabled(false)
+	e.crashes.quarantine.SetOutageSpread(outageSpread)
 	return e
 }
 
