--- a/lovagegapctl/internal/command/classes.go
+++ b/lovagegapctl/internal/command/classes.go
@@ -15,6 +15,7 @@
 	classAdmission       = "refused by admission"
 	classTooLate         = "too late on arrival"
 	classBudget          = "retry budget empty"
+	classQuarantined     = "quarantined"
 	classWithheld        = "hedge withheld"
 	classSilent          = "replicas silent"
 	classShed            = "replicas shed"
@@ -26,12 +27,13 @@
 // classByReason is the class of a request whose reason says all. The reasons are those
 // of the daemon's log.
 var classByReason = map[string]string{
-	"no configuration loaded yet":              classNoConfiguration,
-	"no replica of the service is available":   classNoReplica,
-	"too few shards have an available replica": classNoReplica,
-	"backlog exceeds the admission limit":      classAdmission,
-	"too little time left before the deadline": classTooLate,
-	"the retry budget is empty":                classBudget,
+	"no configuration loaded yet":                       classNoConfiguration,
+	"no replica of the service is available":            classNoReplica,
+	"too few shards have an available replica":          classNoReplica,
+	"backlog exceeds the admission limit":               classAdmission,
+	"too little time left before the deadline":          classTooLate,
+	"the retry budget is empty":                         classBudget,
+	"the request is quarantined: it may crash replicas": classQuarantined,
 }
 
 // classByResult is the class of a request by how its exchanges with replicas ended. An
