--- a/lovagegapctl/internal/command/classes_test.go
+++ b/lovagegapctl/internal/command/classes_test.go
@@ -26,7 +26,7 @@
 		"no shards":        {`{"msg":"request not served","reason":"too few shards have an available replica"}`, classNoReplica},
 		"admission":        {`{"msg":"request not served","reason":"backlog exceeds the admission limit"}`, classAdmission},
 		"no time":          {`{"msg":"request not served","reason":"too little time left before the deadline"}`, classTooLate},
-		"quarantined": {`{"msg":"request not served","reason":"the request is quarantined: it may crash replicas"}`, classQuarantined},
+		"quarantined":      {`{"msg":"request not served","reason":"the request is quarantined: it may crash replicas"}`, classQuarantined},
 		"budget of retries": {`{"msg":"request not served","reason":"the retry budget is empty",
 			"exchanges":[{"result":"shed"}]}`, classBudget},
 		"budget of hedges": {`{"msg":"request not served","reason":"the deadline passed without an answer",
