--- a/entry/gateway/crashes.go
+++ b/entry/gateway/crashes.go
@@ -23,8 +23,8 @@
 	go g.tracker.Publish(newCrashRecord(f.String()+"/"+replica, replica))
 }
 
-// publishQuarantine tells all daemons that a request is quarantined. Like publishCrash,
-// it must not wait for the tracker.
+// publishQuarantine publishes a quarantined request to all daemons. Like publishCrash, it
+// must not wait for the tracker.
 func (g *Gateway) publishQuarantine(f quarantine.Fingerprint, left clock.Millis) {
 	go g.tracker.Publish(newQuarantineRecord(f.String(), left))
 }
--- a/entry/routing/call.go
+++ b/entry/routing/call.go
@@ -106,7 +106,7 @@
 		Method: c.request.Method, Target: c.request.Target, Host: c.request.Host,
 		Header: c.request.Header, Body: c.request.Body, RequestID: c.request.ID,
 		Deadline: action.At(), RequireSuccess: len(c.route.Shards()) > 0,
-		NewConnection: !c.route.Idempotent() || c.sentTo(entry.ID()) || c.needsCertainty(now),
+		NewConnection: !c.route.Idempotent() || c.sentTo(entry.ID()) || c.needsNewConnection(now),
 	})
 	c.exchanges = append(c.exchanges, x)
 	c.replies = append(c.replies, nil)
--- a/entry/routing/crash.go
+++ b/entry/routing/crash.go
@@ -84,10 +84,10 @@
 	}
 }
 
-// needsCertainty reports whether the next exchange needs a new connection, because a
+// needsNewConnection reports whether the next exchange needs a new connection, because a
 // replica was lost with this request or with an earlier one like it. A reused connection
 // may end only because it was idle for too long. The caller holds the lock.
-func (c *call) needsCertainty(now clock.Millis) bool {
+func (c *call) needsNewConnection(now clock.Millis) bool {
 	return len(c.lostReplicas) > 0 || c.engine.isSuspect(now, &c.request)
 }
 
--- a/entry/routing/crash_test.go
+++ b/entry/routing/crash_test.go
@@ -105,6 +105,20 @@
 	assert.Nil(t, l.findLine("request quarantined"))
 }
 
+// Guards against a crash that a delegating daemon does not learn of, since another daemon
+// had sent the request to the replica.
+func TestDelegateReportsLostReplica(t *testing.T) {
+	l := newLoggedEngine(t, replica.BudgetPolicy{})
+	l.configure(shardedRoute(1, 0.5))
+	l.startReplica("s0", "i-0", closeConnection)
+	part := l.Gather(t.Context(), GatherRequest{
+		Request: Request{ID: "r", Method: http.MethodGet, Target: poisonTarget, Host: "h", Header: http.Header{"Id": {"r"}}, Deadline: 1000},
+		Route:   "search", Services: []string{"s0"}, Objective: 500, ReportIn: 1000, TopK: 1,
+	}, func(Part) {})
+	assert.Equal(t, "i-0", part.LostReplica)
+	assert.Equal(t, []string{"s0"}, part.Failed)
+}
+
 // engineFleet holds engines that report crashes to each other.
 type engineFleet []*loggedEngine
 
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -45,8 +45,8 @@
 	// PublishCrash reports to the peers that a request may have crashed a replica; nil
 	// disables it. It is called under the lock of the engine and must not block.
 	PublishCrash func(f quarantine.Fingerprint, replica string)
-	// PublishQuarantine tells the peers that a request is quarantined for the time left;
-	// nil disables it. It is called like PublishCrash.
+	// PublishQuarantine publishes to the peers that a request is quarantined for the time
+	// left; nil disables it. It is called like PublishCrash.
 	PublishQuarantine func(f quarantine.Fingerprint, left clock.Millis)
 	// Delegates gathers shards through daemons of other data centres; nil disables
 	// delegation.
