routing: a lost replica is reported to the peers once for each request

Peers learned of fewer crashes than there were: a delegate names the replica that it has lost in each of its early reports on a request, and each one took part of the limit of 20 crash reports a second.

Cause: call.suspect appended the replica again for each report of the delegate.

Change: a replica is added to the lost ones of a request once, whoever names it.

--- a/entry/routing/crash.go
+++ b/entry/routing/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/dispatch"
@@ -64,7 +65,7 @@
 	case replica.Closed:
 		c.suspect(now, id)
 	case replica.Lost:
-		c.lostReplicas = append(c.lostReplicas, id)
+		c.addLostReplica(id)
 		f := c.request.fingerprint()
 		if e.crashes.quarantine.RecordCrash(now, f, upstream.ID(id), sent) {
 			c.machine.ForbidRepeats()
@@ -93,10 +94,18 @@
 
 // suspect records that the request may have crashed a replica. The caller holds the lock.
 func (c *call) suspect(now clock.Millis, id string) {
-	c.lostReplicas = append(c.lostReplicas, id)
+	c.addLostReplica(id)
 	c.engine.crashes.quarantine.Suspect(now, c.request.fingerprint(), upstream.ID(id))
 }
 
+// addLostReplica adds a replica to those that are reported. A delegate names the same one
+// in each of its reports.
+func (c *call) addLostReplica(id string) {
+	if !slices.Contains(c.lostReplicas, id) {
+		c.lostReplicas = append(c.lostReplicas, id)
+	}
+}
+
 // reportCrashes reports the replicas that the request may have crashed to the peers,
 // within their rate limit, unless it was served. The caller holds the lock.
 func (c *call) reportCrashes(now clock.Millis, outcome dispatch.OutcomeKind) {
--- a/entry/routing/crash_test.go
+++ b/entry/routing/crash_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -105,6 +106,44 @@
 	assert.Nil(t, l.findLine("request quarantined"))
 }
 
+// Guards against crash reports that use up their limit because a delegate names the same
+// lost replica in each of its reports on one request.
+func TestRepeatedReportOfLostReplicaCountsOnce(t *testing.T) {
+	l := newLoggedEngine(t, replica.BudgetPolicy{Ratio: 0.2, Slack: 50})
+	reports := make(map[string]int) // by replica; guarded by the lock of the engine
+	l.deps.PublishCrash = func(_ quarantine.Fingerprint, id string) { reports[id]++ }
+	l.deps.Delegates = scriptedDelegates(func(report func(Part)) Part {
+		for range maxCrashReportsPerSecond {
+			report(Part{LostReplica: "i-0"})
+		}
+		return Part{LostReplica: "i-0", Failed: []string{"s0", "s1", "s2"}}
+	})
+	l.configure(shardedRoute(3, 1))
+	for _, service := range []string{"s0", "s1", "s2"} {
+		for _, dataCentre := range []string{"y", "z"} {
+			spec := l.startReplica(service, service+"-"+dataCentre, closeConnection)
+			spec.DataCentre = dataCentre
+			l.listReplica(spec)
+		}
+	}
+	answer := l.serveTarget(t.Context(), "r", poisonTarget)
+	assert.NotEqual(t, http.StatusOK, answer.Status())
+	assert.Contains(t, reports, "i-0")
+	for id, count := range reports {
+		assert.Equal(t, 1, count, id)
+	}
+}
+
+// scriptedDelegates is a port of delegation to the data centre y. The function sends the
+// reports on a request and returns the last one.
+type scriptedDelegates func(report func(Part)) Part
+
+func (scriptedDelegates) DataCentres() []string { return []string{"y"} }
+
+func (d scriptedDelegates) Gather(_ context.Context, _ string, _ GatherRequest, report func(Part)) Part {
+	return d(report)
+}
+
 // Guards against a crash that a delegating daemon does not learn of, since another daemon
 // had sent the request to the replica.
 func TestDelegateReportsLostReplica(t *testing.T) {
