routing: a crash after a restart under the same id is another crash

Callers whose service has a single replica, which restarts under its id, kept getting 502: a request that crashes it was passed on each time.

Cause: the evidence counted distinct ids, so all crashes of such a replica passed for one.

Change: evidence and reports name a run of a replica, its id and the start that its entry states. Two losses with one run still count as one.

--- a/entry/routing/call.go
+++ b/entry/routing/call.go
@@ -31,7 +31,7 @@
 	earlyAnswers         chan Answer // reports for the delegating daemon
 	onReport             func(Part)
 	leaving              []replica.Observation // replicas that stated that they leave
-	lostReplicas         []string              // replicas that the request may have crashed
+	lostReplicas         []string              // that the request may have crashed, as runOf names them
 	traces               []exchangeTrace
 	configurationVersion uint64
 	timer                *time.Timer
@@ -143,7 +143,7 @@
 	if reply != nil {
 		c.recordNotices(now, attempt, target, reply.Notices())
 	}
-	c.updateQuarantine(now, sent, target.Entry().ID(), result, reply)
+	c.updateQuarantine(now, sent, target.Entry(), result, reply)
 	actions := c.machine.RecordResult(now, attempt, result)
 	e.logStateChange(now, target, result)
 	c.perform(now, actions)
--- a/entry/routing/crash.go
+++ b/entry/routing/crash.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/dispatch"
@@ -26,10 +27,11 @@
 // crashTracker quarantines requests that may crash replicas. Requests with the same
 // method, host, target and body count as the same request, whichever caller sends
 // them to whichever daemon. A request is blocked once two attempts, at different
-// replicas, have ended with a lost connection and without an answer. The second one must
-// be this daemon's own, over a new connection, and begin outageSpread after this daemon
-// learned of the first loss. When many replicas fail together, requests that all
-// callers send alike are in flight on several of them, and each daemon reports its own.
+// replicas or at different runs of one, have ended with a lost connection and without
+// an answer. The second one must be this daemon's own, over a new connection, and begin
+// outageSpread after this daemon learned of the first loss. When many replicas fail
+// together, requests that all callers send alike are in flight on several of them, and
+// each daemon reports its own.
 type crashTracker struct {
 	quarantine  quarantine.List
 	published   int // reports in the current window of one second
@@ -51,11 +53,20 @@
 	return !e.crashes.quarantine.Empty() && e.crashes.quarantine.IsSuspect(now, request.fingerprint())
 }
 
+// runOf identifies one run of a replica. A replica that restarts under the same ID and
+// crashes again counts as another one.
+func runOf(entry replica.Entry) string {
+	if entry.Incarnation() == 0 {
+		return entry.ID()
+	}
+	return entry.ID() + "@" + strconv.FormatInt(entry.Incarnation(), 10)
+}
+
 // updateQuarantine records the result of an exchange with a replica: a reply that the
 // replica has sealed counts as a success of a suspect request, a lost connection as a
 // crash. A reused connection that ended may have been idle for too long; this only makes
 // the request a suspect. The caller holds the lock.
-func (c *call) updateQuarantine(now, sent clock.Millis, id string, result replica.Result, reply *exchange.Reply) {
+func (c *call) updateQuarantine(now, sent clock.Millis, target replica.Entry, result replica.Result, reply *exchange.Reply) {
 	e := c.engine
 	switch result {
 	case replica.OK, replica.Failed:
@@ -63,11 +74,11 @@
 			e.crashes.quarantine.RecordSuccess(now, c.request.fingerprint())
 		}
 	case replica.Closed:
-		c.suspect(now, id)
+		c.suspect(now, runOf(target))
 	case replica.Lost:
-		c.addLostReplica(id)
+		c.addLostReplica(runOf(target))
 		f := c.request.fingerprint()
-		if e.crashes.quarantine.RecordCrash(now, f, upstream.ID(id), sent) {
+		if e.crashes.quarantine.RecordCrash(now, f, upstream.ID(runOf(target)), sent) {
 			c.machine.ForbidRepeats()
 		}
 		e.publishQuarantined(now)
@@ -92,17 +103,18 @@
 	return len(c.lostReplicas) > 0 || c.engine.isSuspect(now, &c.request)
 }
 
-// suspect records that the request may have crashed a replica. The caller holds the lock.
-func (c *call) suspect(now clock.Millis, id string) {
-	c.addLostReplica(id)
-	c.engine.crashes.quarantine.Suspect(now, c.request.fingerprint(), upstream.ID(id))
+// suspect records that the request may have crashed a run of a replica, as runOf names
+// it. The caller holds the lock.
+func (c *call) suspect(now clock.Millis, run string) {
+	c.addLostReplica(run)
+	c.engine.crashes.quarantine.Suspect(now, c.request.fingerprint(), upstream.ID(run))
 }
 
-// addLostReplica adds a replica to those that are reported. A delegate names the same one
-// in each of its reports.
-func (c *call) addLostReplica(id string) {
-	if !slices.Contains(c.lostReplicas, id) {
-		c.lostReplicas = append(c.lostReplicas, id)
+// addLostReplica adds a run of a replica to those that are reported. A delegate names the
+// same one in each of its reports.
+func (c *call) addLostReplica(run string) {
+	if !slices.Contains(c.lostReplicas, run) {
+		c.lostReplicas = append(c.lostReplicas, run)
 	}
 }
 
--- a/entry/routing/crash_test.go
+++ b/entry/routing/crash_test.go
@@ -106,6 +106,45 @@
 	assert.Nil(t, l.findLine("request quarantined"))
 }
 
+// Guards against a request that crashes the only replica of a service again and again: the
+// replica restarts under the same ID, and its crashes pass for one.
+func TestCrashAfterRestartUnderSameIDConfirms(t *testing.T) {
+	l := newLoggedEngine(t, replica.BudgetPolicy{Ratio: 0.2, Slack: 50})
+	l.configure(singleRoute(false))
+	var crashes atomic.Int32
+	spec := l.startReplica("s0", "i-0", func(w http.ResponseWriter, r *http.Request) {
+		crashes.Add(1)
+		closeConnection(w, r)
+	})
+	for run := range 2 {
+		spec.Incarnation = 1_800_000_000_000 + int64(run)
+		l.listReplica(spec)
+		answer := l.serveTarget(t.Context(), fmt.Sprint("p-", run), poisonTarget)
+		assert.Equal(t, http.StatusBadGateway, answer.Status(), answer.Reason())
+		time.Sleep((outageSpread + 10*clock.Millisecond).Duration())
+	}
+	spec.Incarnation++
+	l.listReplica(spec)
+	answer := l.serveTarget(t.Context(), "again", poisonTarget)
+	assert.Equal(t, http.StatusServiceUnavailable, answer.Status(), answer.Reason())
+	assert.EqualValues(t, 2, crashes.Load())
+}
+
+// Guards against a harmless request that is quarantined because two connections to one run
+// of a replica were lost, as by a reset of connections: this is no second crash.
+func TestSecondLossOfOneRunDoesNotConfirm(t *testing.T) {
+	l := newLoggedEngine(t, replica.BudgetPolicy{Ratio: 0.2, Slack: 50})
+	l.configure(singleRoute(false))
+	spec := l.startReplica("s0", "i-0", closeConnection)
+	spec.Incarnation = 1_800_000_000_000
+	l.listReplica(spec)
+	for n := range 3 {
+		answer := l.serveTarget(t.Context(), fmt.Sprint("p-", n), poisonTarget)
+		assert.Equal(t, http.StatusBadGateway, answer.Status(), answer.Reason())
+		time.Sleep((outageSpread + 10*clock.Millisecond).Duration())
+	}
+}
+
 // Guards against crash reports that use up their limit because a delegate names the same
 // lost replica in each of its reports on one request.
 func TestRepeatedReportOfLostReplicaCountsOnce(t *testing.T) {
--- a/entry/routing/delegation.go
+++ b/entry/routing/delegation.go
@@ -34,7 +34,7 @@
 	HedgeDue    bool     // whether a hedge of the other shards is due
 	Seals       []string
 	Records     []byte
-	LostReplica string                // a replica whose connection was lost, or ""
+	LostReplica string                // a replica whose connection was lost, as runOf names it, or ""
 	Leaving     []replica.Observation // replicas that stated that they leave
 	NotRun      bool                  // whether no attempt was made and none will be
 }
