--- a/entry/exchange/hostile_test.go
+++ b/entry/exchange/hostile_test.go
@@ -121,6 +121,29 @@
 	}
 }
 
+// Guards against a head that takes a multiple of its bytes in memory because it consists
+// of very many short lines, and against a limit that rejects sound replies.
+func TestLinesOfHeadAreBounded(t *testing.T) {
+	for count, expected := range map[int]replica.Result{
+		maxHeaderLines / 2: replica.OK,
+		maxHeaderLines + readBufferBytes/len("aaa:\r\n"): replica.Garbled,
+	} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			var head strings.Builder
+			head.WriteString("HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\nContent-Length: 2\r\n")
+			for i := range count {
+				fmt.Fprintf(&head, "%x:\r\n", 0xa00+i)
+			}
+			s := newScriptedReplica(t, head.String()+"\r\n\n\n")
+			reply, result := run(t, NewClient(clock.Clock{}, headerNames), s.spec("r1"))
+			assert.Equal(t, expected.String(), result.String())
+			if expected == replica.OK {
+				assert.Equal(t, "\n\n", string(reply.Body()))
+			}
+		})
+	}
+}
+
 // Guards against memory that grows with the number of replicas that send bytes without
 // end in a head, each line of which becomes an entry of a map.
 func TestEndlessHeadsTakeLittleMemory(t *testing.T) {
