dispatch: requests do not wait while slots are free

Callers of short requests got 503 while half of the slots of the service were free: with 50 of 104 slots busy with requests of 2 s, all of them were refused.

Cause: the time until a slot is free was estimated as the unfinished work divided by the slots. Requests that occupy slots count in it in full, however many slots are free.

Change: a pool also counts the unfinished requests, its own and, by their average, those of the other daemons. While they are fewer than the usable slots there is no wait, for the admission and for hedges alike; otherwise the estimate is as before.

--- a/core/dispatch/admission.go
+++ b/core/dispatch/admission.go
@@ -69,14 +69,14 @@
 }
 
 // queueWait estimates how long a request waits for slots of replicas. An answer
-// may leave out the shards with the longest backlogs.
+// may leave out the shards with the longest queues.
 func (q *Request) queueWait(now clock.Millis) clock.Millis {
-	backlogs := make([]clock.Millis, len(q.shards))
+	waits := make([]clock.Millis, len(q.shards))
 	for i := range q.shards {
-		backlogs[i] = q.shards[i].pool.Backlog(now)
+		waits[i] = q.shards[i].pool.QueueWait(now)
 	}
-	slices.Sort(backlogs)
-	return backlogs[q.requiredShards()-1]
+	slices.Sort(waits)
+	return waits[q.requiredShards()-1]
 }
 
 // admit reports whether the request is admitted, and otherwise the time after which
@@ -117,5 +117,5 @@
 // a large fleet sends a shard too few requests to know its backlog.
 func (q *Request) overloaded(now clock.Millis, s *shard) bool {
 	return q.admission.waitingFraction > maxWaitingFraction ||
-		(s.pool.KnowsLoad(now) && s.pool.Backlog(now) > q.route.Objective()*hedgeBacklogFraction)
+		(s.pool.KnowsLoad(now) && s.pool.QueueWait(now) > q.route.Objective()*hedgeBacklogFraction)
 }
--- a/core/dispatch/delegation.go
+++ b/core/dispatch/delegation.go
@@ -82,7 +82,7 @@
 		services[n] = s.pool.Service()
 		s.pending++
 		s.tried = s.pool.InDataCentre(chosen)
-		s.pool.AddWork(now, q.serviceTime)
+		s.pool.BeginRequest(now, q.serviceTime)
 		s.hedgeAt = now + q.hedgeDelay() + 2*delegationRoundTrip
 	}
 	q.actions = append(q.actions, Action{
@@ -112,7 +112,7 @@
 			remaining = append(remaining, i)
 			continue
 		}
-		s.pool.AddWork(now, -q.serviceTime)
+		s.pool.EndRequest(now, q.serviceTime)
 		switch {
 		case done:
 		case covered:
--- a/core/replica/pool.go
+++ b/core/replica/pool.go
@@ -345,8 +345,10 @@
 	warmUpRate      float64 // requests per second of the fleet to a cold replica; 0 for no limit
 	budget          quota.WindowBudget
 	work            clock.Millis // service time of this daemon's unfinished requests
+	unfinished      int          // their number
 	averageWork     clock.Millis // moving average of work
-	averageWorkAt   clock.Millis // instant up to which averageWork is computed
+	averageCount    float64      // moving average of unfinished
+	averagesAt      clock.Millis // instant up to which the averages are computed
 }
 
 // Configure sets the fleet-wide limits for each replica: connectionLimit is the
@@ -390,22 +392,33 @@
 	minAveragedRate  = averagedRequests / float64(maxAveragingTime/clock.Second) // requests per second
 )
 
-// AddWork adds work to the pool: the service time of a request that was sent, or its
-// negative once the request has ended.
-func (p *Pool) AddWork(now, work clock.Millis) {
-	p.updateAverageWork(now)
+// BeginRequest adds a request that is sent, with the time for which it occupies a slot,
+// to the load of the pool. A request that another daemon counts has the service time 0.
+func (p *Pool) BeginRequest(now, serviceTime clock.Millis) { p.addLoad(now, serviceTime, 1) }
+
+// EndRequest removes a request that was added with BeginRequest from the load.
+func (p *Pool) EndRequest(now, serviceTime clock.Millis) { p.addLoad(now, -serviceTime, -1) }
+
+func (p *Pool) addLoad(now, work clock.Millis, count int) {
+	if work == 0 {
+		return
+	}
+	p.updateAverages(now)
 	p.work = max(0, p.work+work)
+	p.unfinished += count
 }
 
-// updateAverageWork brings the moving average up to now.
-func (p *Pool) updateAverageWork(now clock.Millis) {
-	if now <= p.averageWorkAt {
+// updateAverages brings the moving averages of the load up to now.
+func (p *Pool) updateAverages(now clock.Millis) {
+	if now <= p.averagesAt {
 		return
 	}
 	rate := max(minAveragedRate, p.budget.RegularRate(now))
 	time := max(minAveragingTime, clock.Second*clock.Millis(averagedRequests/rate))
-	p.averageWork += (p.work - p.averageWork) * clock.Millis(1-math.Exp(-float64((now-p.averageWorkAt)/time)))
-	p.averageWorkAt = now
+	weight := 1 - math.Exp(-float64((now-p.averagesAt)/time))
+	p.averageWork += (p.work - p.averageWork) * clock.Millis(weight)
+	p.averageCount += (float64(p.unfinished) - p.averageCount) * weight
+	p.averagesAt = now
 }
 
 // KnowsLoad reports whether this daemon sends enough requests to the pool to estimate
@@ -414,23 +427,39 @@
 	return p.budget.RegularRate(now)*float64(minAveragingTime/clock.Second) >= 1
 }
 
-// Backlog estimates how long a new request waits for a slot: the unfinished work of
-// all daemons divided by the usable slots. The work of each other daemon is not
-// known, and is assumed to equal the average of this one's. A daemon of a large fleet
-// sends few requests to the pool, so the estimate follows the load within seconds.
+// QueueWait estimates how long a new request waits for a slot: not at all while slots are
+// free, however long the requests in the others take, and for the backlog otherwise.
+func (p *Pool) QueueWait(now clock.Millis) clock.Millis {
+	p.updateAverages(now)
+	if float64(p.unfinished)+p.averageCount*float64(p.set.daemonCount-1) < p.usableSlots(now) {
+		return 0
+	}
+	return p.Backlog(now)
+}
+
+// Backlog estimates the unfinished work of all daemons divided by the usable slots. The
+// work of each other daemon is not known, and is assumed to equal the average of this
+// one's. A daemon of a large fleet sends few requests to the pool, so the estimate follows
+// the load within seconds.
 func (p *Pool) Backlog(now clock.Millis) clock.Millis {
-	p.updateAverageWork(now)
+	p.updateAverages(now)
 	work := p.work + p.averageWork*clock.Millis(p.set.daemonCount-1)
 	if work <= 0 {
 		return 0
 	}
+	return work / clock.Millis(max(p.usableSlots(now), minBacklogSlots))
+}
+
+// usableSlots returns the slots of the usable replicas. Those of a slow one count in
+// proportion to its speed.
+func (p *Pool) usableSlots(now clock.Millis) float64 {
 	slots := 0.0
 	for _, r := range p.replicas {
 		if r.usable(now) {
 			slots += float64(r.entry.Slots()) / max(1, r.slowness(now))
 		}
 	}
-	return work / clock.Millis(max(slots, minBacklogSlots))
+	return slots
 }
 
 // replaced reports whether another process has the address of the replica.
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -238,7 +238,7 @@
 // serviceTime. The instant now identifies the exchange in the call of End.
 func (r *Replica) Begin(now, serviceTime clock.Millis) {
 	r.pending = append(r.pending, exchange{startedAt: now, serviceTime: serviceTime})
-	r.pool.AddWork(now, serviceTime)
+	r.pool.BeginRequest(now, serviceTime)
 	r.hold.recordSend(now)
 	if r.Cold(now) && r.pool.warmUpRate > 0 {
 		r.nextColdRequestAt = now + r.pool.coldInterval()
@@ -249,7 +249,7 @@
 // instant startedAt. Expected is the expected latency of the request.
 func (r *Replica) End(now, startedAt clock.Millis, result Result, expected clock.Millis) {
 	if i := slices.IndexFunc(r.pending, func(x exchange) bool { return x.startedAt == startedAt }); i >= 0 {
-		r.pool.AddWork(now, -r.pending[i].serviceTime)
+		r.pool.EndRequest(now, r.pending[i].serviceTime)
 		r.pending = slices.Delete(r.pending, i, i+1)
 	}
 	switch result {
