dispatch: hedges leave a part of the retry budget to retries while replicas fail

Cause: hedges and retries take from one budget. Under such load hedges were a quarter of all repeats, so that none was left for the retries of shards without which requests fail.

Change: while a usable replica of the service fails or sheds, a hedge is withheld unless a fifth of the budget remains after it.

TestHedgesLeaveBudgetForRetries failed before (a hedge was sent).

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -56,6 +56,9 @@
 	// lateRetryReserve is the number of attempts that a request past its
 	// objective leaves in the retry budget, for requests still within theirs.
 	lateRetryReserve = 4
+	// hedgeReserveFraction is the fraction of the retry budget that hedges leave to
+	// retries, without which a request fails, while replicas fail.
+	hedgeReserveFraction = 0.2
 	// maxConnectFailures bounds the attempts for one shard that reach no replica
 	// of the service.
 	maxConnectFailures = 4
--- a/core/dispatch/request_test.go
+++ b/core/dispatch/request_test.go
@@ -199,6 +199,38 @@
 	assert.Equal(t, Refused, actions[0].Outcome().Kind())
 }
 
+// Guards against hedges that use up the budget of repeats while replicas shed, so that
+// requests are not retried and fail: a hedge makes an answer earlier, a retry decides
+// whether there is one. Also guards against hedges that are withheld without such need.
+func TestHedgesLeaveBudgetForRetries(t *testing.T) {
+	for name, failing := range map[string]bool{"a replica fails": true, "no replica fails": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newRequestFixture(t, singleRoute(true))
+			pool := f.set.Pool("s0")
+			for pool.Budget().Remaining(0) > pool.Budget().Size(0)*hedgeReserveFraction {
+				require.True(t, pool.Budget().Take(0, 0))
+			}
+			if failing {
+				other, err := pool.Pick(0, replica.NewCriteria(10, []*replica.Replica{f.sent[0].Replica()}))
+				require.NoError(t, err)
+				other.Begin(0, 10)
+				other.End(1, 0, replica.Failed, 10)
+			}
+			f.tick(60)
+			if !failing {
+				require.Len(t, f.sent, 2)
+				assert.Equal(t, Hedge, f.sent[1].Purpose())
+				return
+			}
+			require.Len(t, f.sent, 1, "a hedge was due")
+			assert.Equal(t, []WithheldHedge{{Service: "s0", Reason: withheldNoBudget}}, f.request.WithheldHedges())
+			f.end(61, 0, replica.Shed)
+			require.Len(t, f.sent, 2)
+			assert.Equal(t, Retry, f.sent[1].Purpose())
+		})
+	}
+}
+
 // Guards against more attempts than the route allows.
 func TestAttemptsAreBounded(t *testing.T) {
 	f := newRequestFixture(t, singleRoute(true))
--- a/core/dispatch/shard.go
+++ b/core/dispatch/shard.go
@@ -209,6 +209,15 @@
 	return 0
 }
 
+// hedgeReserve returns the number of attempts that hedges leave in the retry budget of a
+// pool, for retries, while some of its replicas fail.
+func hedgeReserve(now clock.Millis, p *replica.Pool) float64 {
+	if !p.Failing(now) {
+		return 0
+	}
+	return p.Budget().Size(now) * hedgeReserveFraction
+}
+
 // scheduleRetry schedules another pick for shard i. It fails the shard of a
 // delegated request, since the delegating daemon retries it without delay in
 // other data centres.
@@ -269,7 +278,7 @@
 		s.withheld = withheldReplica
 	case r.Overdue(now, q.expectedLatency):
 		s.withheld = withheldOverdue
-	case !s.pool.Budget().Take(now, q.budgetReserve(now)):
+	case !s.pool.Budget().Take(now, max(q.budgetReserve(now), hedgeReserve(now, s.pool))):
 		s.withheld = withheldNoBudget
 	default:
 		s.withheld = ""
--- a/core/quota/window.go
+++ b/core/quota/window.go
@@ -59,12 +59,18 @@
 // Remaining returns how many extra requests are allowed now. It is negative after
 // RecordExtra exceeded the budget.
 func (w *WindowBudget) Remaining(now clock.Millis) float64 {
+	return w.Size(now) - float64(w.sums.extra)
+}
+
+// Size returns how many extra requests the present window allows, with those that were
+// made.
+func (w *WindowBudget) Size(now clock.Millis) float64 {
 	if w.length == 0 {
 		return 0
 	}
 	w.advance(now)
 	slack := w.slack * min(1, max(minSlackFraction, float64((now-w.startedAt)/w.length)))
-	return w.ratio*float64(w.sums.regular) + slack - float64(w.sums.extra)
+	return w.ratio*float64(w.sums.regular) + slack
 }
 
 // Take counts an extra request if it leaves at least reserve extra requests, and
--- a/core/replica/pick.go
+++ b/core/replica/pick.go
@@ -215,6 +215,14 @@
 	return now >= r.sheddingUntil && r.slowness(now) < maxHealthySlowness && r.failureRate(now) < maxHealthyFailureRate
 }
 
+// Failing reports whether a usable replica of the pool fails or sheds so many requests that
+// repeats are needed for the service to be answered.
+func (p *Pool) Failing(now clock.Millis) bool {
+	return slices.ContainsFunc(p.replicas, func(r *Replica) bool {
+		return r.usable(now) && r.failureRate(now) >= maxHealthyFailureRate
+	})
+}
+
 // ReceiveResult applies the result of an exchange between another daemon and the
 // replica: OK, Failed or Shed.
 func (r *Replica) ReceiveResult(now clock.Millis, result Result) {
