--- a/core/dispatch/shard.go
+++ b/core/dispatch/shard.go
@@ -212,7 +212,7 @@
 // hedgeReserve returns the number of attempts that hedges leave in the retry budget of a
 // pool, for retries, while some of its replicas fail.
 func hedgeReserve(now clock.Millis, p *replica.Pool) float64 {
-	if !p.Failing(now) {
+	if !p.HasFailing(now) {
 		return 0
 	}
 	return p.Budget().Size(now) * hedgeReserveFraction
--- a/core/replica/pick.go
+++ b/core/replica/pick.go
@@ -215,9 +215,9 @@
 	return now >= r.sheddingUntil && r.slowness(now) < maxHealthySlowness && r.failureRate(now) < maxHealthyFailureRate
 }
 
-// Failing reports whether a usable replica of the pool fails or sheds so many requests that
+// HasFailing reports whether a usable replica of the pool fails or sheds so many requests that
 // repeats are needed for the service to be answered.
-func (p *Pool) Failing(now clock.Millis) bool {
+func (p *Pool) HasFailing(now clock.Millis) bool {
 	return slices.ContainsFunc(p.replicas, func(r *Replica) bool {
 		return r.usable(now) && r.failureRate(now) >= maxHealthyFailureRate
 	})
