routing: a refusal for want of replicas logs the services and the states of their replicas

In an incident on the large deployment some 1,500 requests were refused with 'no replica of the service is available'; no line said of which service, or whether its replicas were not listed, displaced, draining or held.

Cause: the line of a refused request has its route and reason only, and no exchange.

Change: such a line names the services of which no replica can be asked, with the number of their listed replicas in each state.

Result: TestLogLineOfRefusalShowsStatesOfReplicas is new; tests of core/dispatch, core/replica and the log lines of entry/routing pass.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -114,6 +114,7 @@
 	openShards    int  // shards that may still be covered
 	mayHaveRun    bool // an ended attempt may have run the request
 	noRepeats     bool // no attempt is made for a shard that had one
+	lacksReplicas bool // refused because too few services have an available replica
 
 	actions  []Action
 	wakeAt   clock.Millis // instant of the last Wake, or never after it
@@ -177,6 +178,7 @@
 		return q.refuse(now, "too little time left before the deadline")
 	}
 	if !q.servable(now) {
+		q.lacksReplicas = true
 		return q.refuse(now, q.reasonFor("no replica of the service is available",
 			"too few shards have an available replica"))
 	}
--- a/core/dispatch/shard.go
+++ b/core/dispatch/shard.go
@@ -304,6 +304,29 @@
 	return found
 }
 
+// UnavailableService is a service of which no replica can be asked, with the number of its
+// listed replicas in each state, as replica.Set.CountByState names them.
+type UnavailableService struct {
+	Service string         `json:"service"`
+	States  map[string]int `json:"states"`
+}
+
+// UnavailableServices returns the services of which no replica can be asked, for logs, if
+// the request was refused for that reason.
+func (q *Request) UnavailableServices(now clock.Millis) []UnavailableService {
+	if !q.lacksReplicas {
+		return nil
+	}
+	var found []UnavailableService
+	for i := range q.shards {
+		s := &q.shards[i]
+		if _, err := q.pickReplica(now, s); err != nil {
+			found = append(found, UnavailableService{Service: s.pool.Service(), States: s.pool.CountByState(now)})
+		}
+	}
+	return found
+}
+
 // mayHedge reports whether the shard may be hedged: on an idempotent route and
 // below its limit of attempts.
 func (q *Request) mayHedge(s *shard) bool {
--- a/core/replica/pool.go
+++ b/core/replica/pool.go
@@ -246,6 +246,15 @@
 	return states
 }
 
+// CountByState is like Set.CountByState for the replicas of one service.
+func (p *Pool) CountByState(now clock.Millis) map[string]int {
+	states := make(map[string]int)
+	for _, r := range p.replicas {
+		states[r.state(now)]++
+	}
+	return states
+}
+
 // stateReady is the state of a replica to which no other state applies.
 const stateReady = "ready"
 
--- a/entry/routing/log_test.go
+++ b/entry/routing/log_test.go
@@ -236,6 +236,26 @@
 	}
 }
 
+// Guards against a refusal for want of replicas whose log line does not say of which
+// service, and why those that are listed are not asked.
+func TestLogLineOfRefusalShowsStatesOfReplicas(t *testing.T) {
+	l := newLoggedEngine(t, replica.BudgetPolicy{})
+	l.configure(shardedRoute(3, 1))
+	l.startReplica("s0", "i-ready", replyGood)
+	displaced := l.startReplica("s1", "i-displaced", replyGood)
+	displaced.ID = "i-later"
+	displaced.Service = "s0"
+	l.listReplica(displaced)
+	answer := l.serve(t.Context(), "r1")
+	assert.Equal(t, http.StatusServiceUnavailable, answer.Status())
+	line := l.findLine("request not served")
+	require.NotNil(t, line, "%v", l.writtenLines())
+	assert.Equal(t, []any{
+		map[string]any{"service": "s1", "states": map[string]any{"displaced": 1.0}},
+		map[string]any{"service": "s2", "states": map[string]any{}},
+	}, line["unavailable"])
+}
+
 // Guards against hedges and retries that are missing from the log line of a request.
 func TestLogLineShowsHedgeAndRetry(t *testing.T) {
 	generous := replica.BudgetPolicy{Ratio: 1, Slack: 100}
--- a/entry/routing/trace.go
+++ b/entry/routing/trace.go
@@ -83,6 +83,9 @@
 		if withheld := c.machine.WithheldHedges(); len(withheld) > 0 {
 			values = append(values, "withheldHedges", withheld[:min(len(withheld), maxLoggedExchanges)])
 		}
+		if unavailable := c.machine.UnavailableServices(now); len(unavailable) > 0 {
+			values = append(values, "unavailable", unavailable[:min(len(unavailable), maxLoggedExchanges)])
+		}
 	}
 	e.deps.Log.V(level).Info(message, append(values, "exchanges", c.notableExchanges(elapsed))...)
 }
