upstream: an abandoned exchange keeps its share of a cold upstream for a while

A cold upstream could get more work at a time than its level allows, which crashes it.

Cause: a daemon freed its share of the level when it cancelled an exchange, such as the slower one after a hedge, or gave it up after the attempt timeout. The upstream runs it until it notices that the connection was closed.

Change: an exchange that was abandoned at a cold upstream counts against the share for 250 ms more, the time for which the connection waits for the upstream to close its end.

--- a/core/upstream/evidence.go
+++ b/core/upstream/evidence.go
@@ -18,7 +18,7 @@
 	if r == nil {
 		return
 	}
-	p.release(r, &choice)
+	p.release(r, &choice, result.outcome)
 	if p.replicas[choice.upstream] != r {
 		return // removed, or replaced by another VM at the same address
 	}
@@ -57,9 +57,17 @@
 	}
 }
 
-// release removes the exchange from those in flight.
-func (p *Pool) release(r *replicaState, choice *Choice) {
+// abandonedHold is how long an abandoned exchange counts against the level share of a cold
+// upstream, which runs it until it notices that the connection was closed.
+const abandonedHold = 250 * clock.Millisecond
+
+// release removes the exchange from those in flight. One that this daemon abandoned still
+// counts at a cold upstream for abandonedHold.
+func (p *Pool) release(r *replicaState, choice *Choice, outcome Outcome) {
 	r.inFlight--
+	if choice.gated && (outcome == Cancelled || outcome == Timeout) {
+		r.abandoned = append(r.abandoned, p.now+abandonedHold)
+	}
 	if choice.via == "" {
 		r.directInFlight--
 	}
--- a/core/upstream/pick.go
+++ b/core/upstream/pick.go
@@ -124,7 +124,7 @@
 		if r.cold.levelShare == 0 {
 			return p.managerRoute(r, req)
 		}
-		if r.directInFlight+r.grantedInFlight >= r.cold.levelShare {
+		if r.directInFlight+r.grantedInFlight+r.abandonedCount(p.now) >= r.cold.levelShare {
 			return routeBlocked
 		}
 	}
@@ -137,6 +137,12 @@
 	return routeBlocked
 }
 
+// abandonedCount returns the number of abandoned exchanges that the upstream may still run.
+func (r *replicaState) abandonedCount(now clock.Millis) int {
+	r.abandoned = slices.DeleteFunc(r.abandoned, func(until clock.Millis) bool { return now >= until })
+	return len(r.abandoned)
+}
+
 func (p *Pool) managerRoute(r *replicaState, req *PickRequest) routeKind {
 	if req.relayed || p.coldStartManager(r) == "" {
 		return routeBlocked
--- a/core/upstream/pool_test.go
+++ b/core/upstream/pool_test.go
@@ -330,6 +330,25 @@
 	require.ErrorIs(t, err, upstream.ErrSaturated, "a new upstream gets one exchange at a time")
 }
 
+// Guards against more work at a cold upstream than its level allows because an exchange was
+// cancelled, such as the slower one after a hedge, or timed out: until the upstream notices
+// that the connection was closed, it still runs it.
+func TestAbandonedExchangeHoldsColdShare(t *testing.T) {
+	for _, outcome := range []upstream.Outcome{upstream.Cancelled, upstream.Timeout} {
+		t.Run(outcome.String(), func(t *testing.T) {
+			f := newFixture(t)
+			f.pool.CompleteJoin(f.now, false)
+			require.Equal(t, 1, f.status(u1).Level())
+			f.exchange(u1, outcome, 5, "")
+			_, err := f.pool.Pick(f.now, pickRequest(u1))
+			require.ErrorIs(t, err, upstream.ErrSaturated)
+			f.now += clock.Second
+			_, err = f.pool.Pick(f.now, pickRequest(u1))
+			require.NoError(t, err, "the upstream has noticed it by now")
+		})
+	}
+}
+
 // Guards against cold starts without a manager after its death, and against the use of its
 // level share within takeoverDelay, while it may still run behind a partition.
 func TestTakeoverOfColdStartFromDeadManager(t *testing.T) {
--- a/core/upstream/replica.go
+++ b/core/upstream/replica.go
@@ -15,6 +15,9 @@
 	inFlight        int // all exchanges of this daemon
 	directInFlight  int // exchanges on this daemon's own connections
 	grantedInFlight int // relayed exchanges that count against this daemon's level share
+	// abandoned holds, for each abandoned exchange that the upstream may still run, the
+	// instant until which it counts against this daemon's level share.
+	abandoned []clock.Millis
 
 	meanLatency clock.Millis // moving average; 0 without a sample
 	sampledAt   clock.Millis
