entry/daemon: failing tests also report the events of cold starts

Cause: the lines of a failure of TestColdFallbackUnderLoad do not say what each daemon knew of the restart. Change: the journals of all daemons are read before they are stopped.

--- a/entry/daemon/diagnosis_test.go
+++ b/entry/daemon/diagnosis_test.go
@@ -3,10 +3,10 @@
 import (
 	"fmt"
 	"sync"
-	"testing"
 	"time"
 
 	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/journal"
 	"github.com/lovagegap/lovagegap/lovagegap-standin/upstreams"
 )
 
@@ -25,15 +25,16 @@
 	stalls []string
 }
 
-// startDiagnosis begins to record, and reports to the log of the test if it fails.
-func startDiagnosis(t *testing.T, c clock.Clock, replicas *upstreams.Fleet) {
-	d := &diagnosis{clock: c}
+// startDiagnosis begins to record, and reports to the log of the test if it fails. The
+// daemons must not be stopped before.
+func startDiagnosis(f *testFleet) {
+	d := &diagnosis{clock: f.clock}
 	done := make(chan struct{})
 	go d.recordStalls(done)
-	t.Cleanup(func() {
+	f.t.Cleanup(func() {
 		close(done)
-		if t.Failed() {
-			d.report(t, replicas)
+		if f.t.Failed() {
+			d.report(f)
 		}
 	})
 }
@@ -57,14 +58,17 @@
 	}
 }
 
-func (d *diagnosis) report(t *testing.T, replicas *upstreams.Fleet) {
+func (d *diagnosis) report(f *testFleet) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	t.Logf("test failed at %.0f; the test's process stood still: %v", float64(d.clock.Now()), d.stalls)
-	for _, u := range replicas.All() {
+	f.t.Logf("test failed at %.0f; the test's process stood still: %v", float64(d.clock.Now()), d.stalls)
+	for _, event := range f.events(string(journal.ColdStart)) {
+		f.t.Logf("event: %+v", event)
+	}
+	for _, u := range f.upstreams.All() {
 		for _, entry := range u.Log(0) {
 			if entry.Outcome != upstreams.Completed || entry.Finished-entry.Started >= slowSubRequest {
-				t.Logf("replica %s: shard %s %s at %.0f to %.0f, %d running or queued, request %s",
+				f.t.Logf("replica %s: shard %s %s at %.0f to %.0f, %d running or queued, request %s",
 					u.Address(), entry.Shard, entry.Outcome, float64(entry.Started), float64(entry.Finished),
 					entry.Concurrency, entry.Request)
 			}
--- a/entry/daemon/harness_test.go
+++ b/entry/daemon/harness_test.go
@@ -273,7 +273,6 @@
 	f.upstreams, err = upstreams.Start(d, f.clock)
 	require.NoError(t, err)
 	t.Cleanup(f.upstreams.Close)
-	startDiagnosis(t, f.clock, f.upstreams)
 	f.platform = platform.New(f.clock, f.upstreamVMs(d)...)
 	f.daemons = f.newDaemons(options, d)
 	for i, daemon := range f.daemons {
@@ -289,6 +288,7 @@
 		daemon.start()
 	}
 	t.Cleanup(f.stop)
+	startDiagnosis(f)
 	f.waitReady()
 	if options.settings == "" {
 		options.settings = defaultSettings
