upstream: a raised level of a cold start holds for the known process only

An upstream that restarted while its cold start was still going on got the work of the level that the process before had reached, and crashed again.

Cause: a choice at a cold upstream counted as gated, and a gated exchange may reach any process: the concurrency of a cold start was taken to be safe for each. That holds for the initial level only. The journals of the daemons show it: 'cold start: latency jumped', the restart some 60 to 150 ms later, two requests of two daemons within 2 ms, the crash, and only then 'cold start: answer has a new boot id'.

Change: a choice is gated at the initial level and behind the local gate only. At a raised level the exchange is bound to the known process, as outside of a cold start.

Result: TestRaisedLevelIsThatOfTheKnownProcess failed before.

--- a/core/upstream/evidence.go
+++ b/core/upstream/evidence.go
@@ -65,7 +65,7 @@
 // counts at a cold upstream for abandonedHold.
 func (p *Pool) release(r *replicaState, choice *Choice, outcome Outcome) {
 	r.inFlight--
-	if choice.gated && (outcome == Cancelled || outcome == Timeout) {
+	if choice.cold && (outcome == Cancelled || outcome == Timeout) {
 		r.abandoned = append(r.abandoned, p.now+abandonedHold)
 	}
 	if choice.via == "" {
--- a/core/upstream/pick.go
+++ b/core/upstream/pick.go
@@ -194,12 +194,22 @@
 	return far
 }
 
+// bearsRestart reports whether the limit of concurrency that applies to r is that of an
+// upstream that has just restarted. A raised level is that of the known process.
+func (p *Pool) bearsRestart(r *replicaState, req *PickRequest) bool {
+	if r.cold == nil {
+		return req.coldShareGranted
+	}
+	return r.cold.localGate || r.cold.record.level <= p.policy.InitialLevel()
+}
+
 // begin counts an exchange with r as in flight and returns the choice.
 func (p *Pool) begin(r *replicaState, req *PickRequest) Choice {
 	choice := Choice{
 		upstream: r.replica.id, replica: r, pickedAt: p.now,
 		freshConnection:     req.freshConnection || r.suspectConnection,
-		gated:               r.cold != nil || req.coldShareGranted,
+		cold:                r.cold != nil || req.coldShareGranted,
+		gated:               p.bearsRestart(r, req),
 		afterConnectionLoss: r.afterConnectionLoss(),
 		boot:                r.boot,
 	}
--- a/core/upstream/pool_test.go
+++ b/core/upstream/pool_test.go
@@ -330,6 +330,22 @@
 	require.ErrorIs(t, err, upstream.ErrSaturated, "a new upstream gets one exchange at a time")
 }
 
+// Guards against an exchange that reaches a process that has just restarted, under the level
+// that its predecessor had reached: only at the initial level, which any process bears, may
+// it run in a process other than the known one.
+func TestRaisedLevelIsThatOfTheKnownProcess(t *testing.T) {
+	f := newFixture(t)
+	f.pool.CompleteJoin(f.now, false)
+	first := f.exchange(u1, upstream.OK, 5, "b1")
+	require.True(t, first.Gated(), "at the initial level")
+	require.Equal(t, 2, f.status(u1).Level())
+	second := f.exchange(u1, upstream.ConnectionLost, 5, "")
+	require.False(t, second.Gated(), "at a raised level")
+	require.Equal(t, "b1", second.Boot())
+	third := f.exchange(u1, upstream.OK, 5, "b2")
+	require.True(t, third.Gated(), "behind the gate after the lost connection")
+}
+
 // Guards against more work at a cold upstream than its level allows because an exchange was
 // cancelled, such as the slower one after a hedge, or timed out: until the upstream notices
 // that the connection was closed, it still runs it.
--- a/core/upstream/upstream.go
+++ b/core/upstream/upstream.go
@@ -183,6 +183,7 @@
 	trial               bool
 	pickedAt            clock.Millis
 	replica             *replicaState
+	cold                bool // the upstream is in a cold start
 	gated               bool
 	afterConnectionLoss bool
 	boot                string
@@ -212,13 +213,13 @@
 // suggest that the request crashes the upstream.
 func (c Choice) AfterConnectionLoss() bool { return c.afterConnectionLoss }
 
-// Gated reports whether the choice respects cold-start concurrency, because the
-// upstream is or may be in a cold start.
+// Gated reports whether the choice respects the concurrency of an upstream that has
+// just started, because it is or may be at the initial level of a cold start.
 func (c Choice) Gated() bool { return c.gated }
 
 // Boot returns the boot id of the upstream's process as known at the time of the
 // choice, or "". Unless the choice is gated, only this process may run the
-// sub-request, because another process may be in a cold start.
+// sub-request, because another process may be in a cold start, at a lower level.
 func (c Choice) Boot() string { return c.boot }
 
 // PickedAt returns the time at which the replica was selected.
