upstream: a name and two comments

Cause: bearsRestart and 'bears' read like no term of the field. Change: fitsAnyProcess; the comments say when an exchange may run in another process. Result: the tests of core/upstream pass; no behaviour changed.

--- a/core/upstream/pick.go
+++ b/core/upstream/pick.go
@@ -194,9 +194,9 @@
 	return far
 }
 
-// bearsRestart reports whether the limit of concurrency that applies to r is that of an
-// upstream that has just restarted. A raised level is that of the known process.
-func (p *Pool) bearsRestart(r *replicaState, req *PickRequest) bool {
+// fitsAnyProcess reports whether the limit of concurrency that applies to r also suits a
+// process that has just started. A raised level is that of the known process.
+func (p *Pool) fitsAnyProcess(r *replicaState, req *PickRequest) bool {
 	if r.cold == nil {
 		return req.coldShareGranted
 	}
@@ -209,7 +209,7 @@
 		upstream: r.replica.id, replica: r, pickedAt: p.now,
 		freshConnection:     req.freshConnection || r.suspectConnection,
 		cold:                r.cold != nil || req.coldShareGranted,
-		gated:               p.bearsRestart(r, req),
+		gated:               p.fitsAnyProcess(r, req),
 		afterConnectionLoss: r.afterConnectionLoss(),
 		boot:                r.boot,
 	}
--- a/core/upstream/pool_test.go
+++ b/core/upstream/pool_test.go
@@ -331,8 +331,8 @@
 }
 
 // Guards against an exchange that reaches a process that has just restarted, under the level
-// that its predecessor had reached: only at the initial level, which any process bears, may
-// it run in a process other than the known one.
+// that its predecessor had reached: it may run in a process other than the known one at the
+// initial level only.
 func TestRaisedLevelIsThatOfTheKnownProcess(t *testing.T) {
 	f := newFixture(t)
 	f.pool.CompleteJoin(f.now, false)
