upstreams: the lines of a head are bounded

An upstream that sends a head without an end in short lines made lovagegapd hold a multiple of its 64 KiB, as replicas did with the daemon for routes.

Cause: the client for upstreams bounded the bytes of a head only; the limit of lines had been added to the other client alone.

Change: the limit moves to entry/body (HeadReader), which both clients read through.

Result: TestLinesOfHeadAreBounded of entry/upstreams failed before (ok instead of failed); that of entry/exchange, with its two counts written out, passes as before.

--- a/entry/exchange/conn.go
+++ b/entry/exchange/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -18,11 +17,7 @@
 const (
 	readBufferBytes = 2 << 10
 	maxHeaderBytes  = 64 << 10
-	// maxHeaderLines bounds the lines of a head, since each becomes an entry of a map
-	// that takes a multiple of its bytes. A head that ends within the same read buffer
-	// may have more.
-	maxHeaderLines = 256
-	maxBodyBytes   = 4 << 20
+	maxBodyBytes    = 4 << 20
 	// maxReplyMemory bounds the bodies that a client reads at a time, so that replicas
 	// that send bytes without end do not use up the memory of the daemon.
 	maxReplyMemory = 32 << 20
@@ -43,30 +38,21 @@
 type conn struct {
 	net.Conn
 	probe      func() socket.State
+	head       *body.HeadReader // reads from Conn
 	limited    io.LimitedReader
 	reader     *bufio.Reader
 	idleUntil  clock.Millis
 	keepAlive  clock.Millis // idle limit that the replica announced, or 0
 	reused     bool
 	replyBegun bool  // whether a byte of a reply was read in the current exchange
-	readsHead  bool  // whether the head of the reply is not complete yet
-	headLines  int   // read so far
 	closing    bool  // the replica closes the connection after this reply
 	readErr    error // of the last read, such as io.EOF; the HTTP parser replaces it
 }
 
-// Read implements io.Reader. It returns body.ErrOversized instead of further bytes of a
-// head with more than maxHeaderLines.
+// Read implements io.Reader.
 func (c *conn) Read(b []byte) (int, error) {
-	if c.readsHead && c.headLines > maxHeaderLines {
-		c.readErr = body.ErrOversized
-		return 0, c.readErr
-	}
-	n, err := c.Conn.Read(b)
+	n, err := c.head.Read(b)
 	c.readErr = err
-	if c.readsHead {
-		c.headLines += bytes.Count(b[:n], []byte{'\n'})
-	}
 	return n, err
 }
 
@@ -77,7 +63,7 @@
 		_ = inner.Close()
 		return nil, err
 	}
-	c := &conn{Conn: inner, probe: socket.NewProbe(raw)}
+	c := &conn{Conn: inner, probe: socket.NewProbe(raw), head: body.NewHeadReader(inner)}
 	c.limited.R = c
 	c.reader = bufio.NewReaderSize(&c.limited, readBufferBytes)
 	return c, nil
@@ -99,7 +85,7 @@
 	c.replyBegun = false
 	for range maxReplies {
 		c.limited.N = maxHeaderBytes
-		c.readsHead, c.headLines = true, 0
+		c.head.BeginHead()
 		if _, err := c.reader.Peek(1); err != nil {
 			return nil, false, err
 		}
@@ -111,7 +97,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		c.readsHead = false
+		c.head.EndHead()
 		c.limited.N = maxBodyBytes + maxHeaderBytes
 		data, err := body.Read(response, maxBodyBytes, x.client.memory)
 		if err != nil {
--- a/entry/exchange/hostile_test.go
+++ b/entry/exchange/hostile_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/replica"
+	"github.com/lovagegap/lovagegap/entry/body"
 )
 
 // endlessReplica answers each request with head and then with text again and again,
@@ -125,8 +126,8 @@
 // of very many short lines, and against a limit that rejects sound replies.
 func TestLinesOfHeadAreBounded(t *testing.T) {
 	for count, expected := range map[int]replica.Result{
-		maxHeaderLines / 2: replica.OK,
-		maxHeaderLines + readBufferBytes/len("aaa:\r\n"): replica.Garbled,
+		128: replica.OK,
+		600: replica.Garbled, // more than the limit of lines and a read buffer hold
 	} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
 			var head strings.Builder
@@ -284,7 +285,7 @@
 	x := client.NewExchange(Spec{Method: http.MethodGet, RequestID: "r1"})
 	f.Fuzz(func(t *testing.T, text []byte) {
 		near, far := net.Pipe()
-		c := &conn{Conn: near}
+		c := &conn{Conn: near, head: body.NewHeadReader(near)}
 		c.limited.R = c
 		c.reader = bufio.NewReaderSize(&c.limited, readBufferBytes)
 		go func() {
--- a/entry/upstreams/conn.go
+++ b/entry/upstreams/conn.go
@@ -36,6 +36,7 @@
 type conn struct {
 	net.Conn
 	probe     func() socket.State // state of the idle socket
+	head      *body.HeadReader    // reads from Conn
 	limited   io.LimitedReader    // bounds what reader reads for one reply
 	reader    *bufio.Reader
 	idleSince clock.Millis
@@ -53,7 +54,8 @@
 		_ = tcp.Close()
 		return nil, err
 	}
-	c := &conn{Conn: tcp, probe: socket.NewProbe(raw), limited: io.LimitedReader{R: tcp}}
+	c := &conn{Conn: tcp, probe: socket.NewProbe(raw), head: body.NewHeadReader(tcp)}
+	c.limited.R = c.head
 	c.reader = bufio.NewReaderSize(&c.limited, readBufferBytes)
 	return c, nil
 }
@@ -95,12 +97,14 @@
 
 func (c *conn) readReply(method *http.Request) (reply, error) {
 	c.limited.N = maxHeadBytes
+	c.head.BeginHead()
 	response, err := http.ReadResponse(c.reader, method)
 	if err != nil {
 		return reply{}, c.classifyReadError(err)
 	}
 	// Close would read an oversized body to its end, so the connection is
 	// closed instead after an error.
+	c.head.EndHead()
 	c.limited.N = maxBodyBytes + maxHeadBytes
 	data, err := body.Read(response, maxBodyBytes, replyMemory)
 	if err != nil {
--- a/entry/upstreams/exchange_test.go
+++ b/entry/upstreams/exchange_test.go
@@ -235,6 +235,23 @@
 	}
 }
 
+// Guards against a head that takes a multiple of its bytes in memory because it consists
+// of very many short lines, and against a limit that rejects sound replies.
+func TestLinesOfHeadAreBounded(t *testing.T) {
+	for lines, outcome := range map[int]upstream.Outcome{128: upstream.OK, 2000: upstream.Failed} {
+		t.Run(fmt.Sprint(lines), func(t *testing.T) {
+			more := "HTTP/1.1 200 OK\r\n"
+			for i := range lines {
+				more += fmt.Sprintf("%x:\r\n", 0xa00+i)
+			}
+			s := startScripted(t, replyWithChange("HTTP/1.1 200 OK\r\n", more))
+			client := New(clock.Clock{})
+			defer client.Close()
+			require.Equal(t, outcome.String(), exchangeOutcome(client, newExchange(s.id(), "q1/0", longDeadline)).String())
+		})
+	}
+}
+
 // exchangeOutcome runs e without cancellation and returns its outcome.
 func exchangeOutcome(client *Client, e Exchange) upstream.Outcome {
 	result, _ := client.runExchange(context.Background(), &e)
