--- a/entry/gateway/configuration.go
+++ b/entry/gateway/configuration.go
@@ -35,7 +35,42 @@
 	// LifetimeS is the time in seconds for which callers may use addresses.
 	LifetimeS float64     `json:"lifetimeS"`
 	Repeats   RetryBudget `json:"repeats"`
-	Log       LogSettings `json:"log"`
+	// Limits, Tenants and Releases are optional.
+	Limits   ResourceLimits  `json:"limits"`
+	Tenants  TenantSettings  `json:"tenants"`
+	Releases ReleaseSettings `json:"releases"`
+	Log      LogSettings     `json:"log"`
+}
+
+// ResourceLimits describes the VM of the daemon. A value of zero means unknown.
+type ResourceLimits struct {
+	MemoryMb       float64 `json:"memoryMb"`
+	MaxDescriptors int     `json:"maxDescriptors"`
+	CPUShare       float64 `json:"cpuShare"` // share of each core
+	Cores          int     `json:"cores"`
+}
+
+// TenantSettings bounds the revocation of tenants' keys and the excess over their
+// fleet-wide limits. RevokeMs of zero sets no bound.
+type TenantSettings struct {
+	// StrictRevocation means that RevokeMs also holds for a daemon that has lost
+	// contact with the store.
+	StrictRevocation bool    `json:"strictRevocation"`
+	RevokeMs         float64 `json:"revokeMs"`
+	// In each window of WindowS, a tenant may send (rate * WindowS + burst) *
+	// (1 + Overshoot) + Slack requests.
+	WindowS   float64 `json:"windowS"`
+	Overshoot float64 `json:"overshoot"`
+	Slack     float64 `json:"slack"`
+}
+
+// ReleaseSettings bounds the requests that a new version of a service receives before
+// it is found good: ExposureShare of all requests of the service plus ExposureSlack. A
+// bad version receives none later than RollbackMs after the evidence against it.
+type ReleaseSettings struct {
+	ExposureShare float64 `json:"exposureShare"`
+	ExposureSlack float64 `json:"exposureSlack"`
+	RollbackMs    float64 `json:"rollbackMs"`
 }
 
 // RetryBudget limits the retries and hedges of a service over all daemons: within
@@ -95,6 +130,21 @@
 			return errors.Wrapf(ErrConfiguration, "seeds[%d]: %q must be IP:port", i, seed)
 		}
 	}
+	for _, number := range []struct {
+		field string
+		value float64
+	}{
+		{"limits.memoryMb", p.Limits.MemoryMb}, {"limits.maxDescriptors", float64(p.Limits.MaxDescriptors)},
+		{"limits.cpuShare", p.Limits.CPUShare}, {"limits.cores", float64(p.Limits.Cores)},
+		{"tenants.revokeMs", p.Tenants.RevokeMs}, {"tenants.windowS", p.Tenants.WindowS},
+		{"tenants.overshoot", p.Tenants.Overshoot}, {"tenants.slack", p.Tenants.Slack},
+		{"releases.exposureShare", p.Releases.ExposureShare}, {"releases.exposureSlack", p.Releases.ExposureSlack},
+		{"releases.rollbackMs", p.Releases.RollbackMs},
+	} {
+		if number.value < 0 {
+			return errors.Wrapf(ErrConfiguration, "%s: %v must not be negative", number.field, number.value)
+		}
+	}
 	switch {
 	case p.Name == "":
 		return errors.Wrap(ErrConfiguration, "name: must not be empty")
