--- a/entry/gateway/configuration.go
+++ b/entry/gateway/configuration.go
@@ -168,6 +168,11 @@
 	return nil
 }
 
+// maxLifetimeFraction is the fraction of the grace period that bounds the lifetime of
+// addresses. It is below closeConnectionsFraction, so that a daemon still accepts
+// connections when the addresses that callers got before its stop expire.
+const maxLifetimeFraction = 0.7
+
 // Config returns the part of the process configuration that the gateway uses. The
 // names of headers and the prefixes of the store are left empty.
 func (p *ProcessConfig) Config() Config {
@@ -178,6 +183,7 @@
 			Ratio: p.Repeats.Ratio, Slack: p.Repeats.Slack, Window: clock.Second * clock.Millis(p.Repeats.WindowS),
 		},
 		GracePeriod:     clock.Second * clock.Millis(p.GraceS),
-		AddressLifetime: clock.Second * clock.Millis(p.LifetimeS),
+		AddressLifetime: min(clock.Second*clock.Millis(p.LifetimeS),
+			clock.Second*clock.Millis(p.GraceS)*maxLifetimeFraction),
 	}
 }
