routing: tenants in the routing table, and grants for their requests

Cause: the configuration has no notion of a client account, so neither keys nor fleet-wide limits can be attached to one.

Change: route.Table holds tenants and the hashes of their keys, route.Spec the flag of public routes, and routing.Request the tenant. Engine.Serve asks Dependencies.Allowances, if set, for each request of a tenant with a limit, and gives the permission back if the request did not run. Nothing sets them yet.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -1,8 +1,8 @@
 // Package route selects the services that a caller's request is sent to.
 //
 // A Table is one version of the operators' configuration: the routes, matched by
-// host and longest path prefix, the services that they refer to, and the limits of
-// callers. Tables and routes are immutable and safe for concurrent use, so a
+// host and longest path prefix, the services that they refer to, the limits of
+// callers, and the tenants with the hashes of their keys. Tables and routes are immutable and safe for concurrent use, so a
 // request that holds a Route uses one version of the configuration to its end.
 //
 // # Usage
@@ -11,6 +11,8 @@
 //	r, ok := table.Match("search.example", "/status/2f")
 //	service := r.ChooseService(random.Float64()) // a route to one replica
 //	for _, shard := range r.Shards() { … }       // a route over many shards
+//	table, err = table.WithTenants(route.NewKeyHasher(secret), tenants)
+//	tenant, ok := table.TenantOfKey(key)
 package route
 
 import (
@@ -56,6 +58,7 @@
 	TopK           int      // maximum number of records in a merged answer
 	MinCoverage    float64  // minimum fraction of the shards in an answer, 0 to 1
 	AllowedRegions []string // regions whose replicas may receive a request; all if empty
+	Public         bool     // requests need no key, although the configuration has tenants
 }
 
 // Route holds the services and policies for the requests of one host and path prefix.
@@ -127,6 +130,9 @@
 // Priority returns the priority; 0 is the highest.
 func (r *Route) Priority() int { return r.spec.Priority }
 
+// Public reports whether requests need no key, although the configuration has tenants.
+func (r *Route) Public() bool { return r.spec.Public }
+
 // Shards returns the services whose answers are merged, or nil on a route to one
 // replica. The slice must not be changed.
 func (r *Route) Shards() []string { return r.spec.Shards }
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -72,6 +72,9 @@
 	routeCount   int
 	services     map[string]Service
 	limits       Limits
+	hasher       KeyHasher
+	tenants      map[string]*Tenant // by name
+	tenantsByKey map[KeyHash]*Tenant
 }
 
 // NewTable returns the table of a version of the configuration. It returns ErrInvalid
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -51,6 +51,8 @@
 	// Delegates gathers shards through daemons of other data centres; nil disables
 	// delegation.
 	Delegates Delegates
+	// Allowances limits the requests of tenants; nil means no limits.
+	Allowances Allowances
 }
 
 // Meter records metrics of attempts and requests. Its methods are called under
@@ -106,7 +108,8 @@
 	Host     string
 	Header   http.Header // without hop-by-hop headers
 	Body     []byte
-	Deadline clock.Millis // time left, or 0 if the caller set no deadline
+	Deadline clock.Millis  // time left, or 0 if the caller set no deadline
+	Tenant   *route.Tenant // of the caller's key, or nil
 }
 
 // Answer is the result of a request: the reply of a replica, the merged records
@@ -191,7 +194,17 @@
 // Serve runs a request on a route that MatchRoute returned. It returns when there is an
 // answer, or when ctx ends because the caller left.
 func (e *Engine) Serve(ctx context.Context, r *route.Route, request Request) Answer {
-	return e.run(ctx, &call{engine: e, request: request, route: r, done: make(chan Answer, 1)})
+	limited := e.deps.Allowances != nil && request.Tenant != nil && request.Tenant.Limited()
+	if limited {
+		if answer, granted := e.takeAllowance(ctx, r, &request); !granted {
+			return answer
+		}
+	}
+	answer := e.run(ctx, &call{engine: e, request: request, route: r, done: make(chan Answer, 1)})
+	if limited && answer.notRun() {
+		e.deps.Allowances.Return(request.Tenant)
+	}
+	return answer
 }
 
 func (e *Engine) run(ctx context.Context, c *call) Answer {
