frontend: keys of callers are checked before their bodies are read

Cause: any caller may use any route; the configuration's tenants, their keys and public routes are ignored.

The frontend asks the engine for the tenant of the key before it reads the body: 401 without a valid key, 400 for a repeated one. Replicas and delegates get the tenant's name in its header and never the key. A request whose key is removed makes no further attempts, and is refused as not run if it has not run. The fingerprint of the quarantine contains the tenant. Refusals are logged in samples.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -24,6 +24,8 @@
 package dispatch
 
 import (
+	"cmp"
+
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/replica"
 	"github.com/lovagegap/lovagegap/core/route"
@@ -111,10 +113,11 @@
 	shards        []shard
 	attempts      []attempt
 	coveredShards int
-	openShards    int  // shards that may still be covered
-	mayHaveRun    bool // an ended attempt may have run the request
-	noRepeats     bool // no attempt is made for a shard that had one
-	lacksReplicas bool // refused because too few services have an available replica
+	openShards    int    // shards that may still be covered
+	mayHaveRun    bool   // an ended attempt may have run the request
+	noRepeats     bool   // no attempt is made for a shard that had one
+	noAttempts    string // reason for which no attempt is made at present, or ""
+	lacksReplicas bool   // refused because too few services have an available replica
 
 	actions  []Action
 	wakeAt   clock.Millis // instant of the last Wake, or never after it
@@ -177,6 +180,9 @@
 	if now >= q.answerBy {
 		return q.refuse(now, "too little time left before the deadline")
 	}
+	if q.noAttempts != "" {
+		return q.refuse(now, q.noAttempts)
+	}
 	if !q.servable(now) {
 		q.lacksReplicas = true
 		return q.refuse(now, q.reasonFor("no replica of the service is available",
@@ -240,6 +246,11 @@
 // ForbidRepeats ends retries and hedges: the request crashes the replicas that run it.
 func (q *Request) ForbidRepeats() { q.noRepeats = true }
 
+// ForbidAttempts forbids further attempts for the reason, or allows them again if it is
+// empty. It is called before the method that may make one. A request that no replica has
+// run is then refused.
+func (q *Request) ForbidAttempts(reason string) { q.noAttempts = reason }
+
 // RecordResult records the result of the attempt with the given number. The
 // replica's statistics are updated even if the attempt is abandoned or the
 // request has finished. A second result of the same attempt is ignored.
@@ -324,7 +335,7 @@
 	case q.coveredShards >= required && now >= min(q.partialAt, q.answerBy):
 		return q.answer("the latency objective is close")
 	case q.coveredShards+q.openShards < required:
-		return q.giveUp(now, q.reasonFor("no replica can answer", "too few shards can answer"))
+		return q.giveUp(now, cmp.Or(q.noAttempts, q.reasonFor("no replica can answer", "too few shards can answer")))
 	case now >= q.answerBy:
 		return q.timeOut(now)
 	case q.starved(required):
--- a/core/dispatch/request_test.go
+++ b/core/dispatch/request_test.go
@@ -500,3 +500,35 @@
 		})
 	}
 }
+
+// Guards against an attempt, retry or hedge of a request whose key was removed, against a
+// promise that such a request has not run although it may have, and against one that stays
+// forbidden.
+func TestForbiddenRequestMakesNoAttempts(t *testing.T) {
+	for name, c := range map[string]struct {
+		result  replica.Result
+		outcome OutcomeKind
+	}{
+		"shed": {replica.Shed, Refused}, "lost": {replica.Lost, Unavailable}, "answered": {replica.OK, Answered},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newRequestFixture(t, singleRoute(true))
+			f.request.ForbidAttempts("no key")
+			f.tick(300)
+			assert.Len(t, f.sent, 1, "no hedge")
+			f.end(310, 0, c.result)
+			assert.Len(t, f.sent, 1, "no retry")
+			require.NotNil(t, f.outcome)
+			assert.Equal(t, c.outcome, f.outcome.Kind())
+			if c.outcome == Refused {
+				assert.Equal(t, "no key", f.outcome.Reason())
+			}
+		})
+	}
+	f := newRequestFixture(t, singleRoute(true))
+	f.request.ForbidAttempts("no key")
+	f.tick(300)
+	f.request.ForbidAttempts("")
+	f.tick(320)
+	assert.Len(t, f.sent, 2, "the hedge is made once attempts are allowed again")
+}
--- a/core/dispatch/shard.go
+++ b/core/dispatch/shard.go
@@ -122,6 +122,10 @@
 func (q *Request) retryOrFail(now clock.Millis, i int) {
 	s := &q.shards[i]
 	s.starved = false
+	if q.noAttempts != "" {
+		q.failShard(i)
+		return
+	}
 	if !q.delegated && s.reached >= q.attemptLimit(s) && s.shed == s.reached && s.reached < maxSheds &&
 		len(s.shedBy) > 0 && !q.overloaded(now, s) {
 		// The attempts are used up, but none has run the request. The route
@@ -257,6 +261,7 @@
 	withheldReplica  = "no replica"
 	withheldOverdue  = "other replica overdue"
 	withheldNoBudget = "budget"
+	withheldRefused  = "refused"
 )
 
 // hedge makes a second attempt for shard i, unless it is unlikely to answer in
@@ -270,6 +275,8 @@
 	s.hedgeAt = now + recheckInterval
 	r, err := q.pickReplica(now, s)
 	switch {
+	case q.noAttempts != "":
+		s.withheld = withheldRefused
 	case now+q.expectedLatency*hedgeTimeFraction > q.answerBy:
 		s.withheld = withheldTooLate
 	case q.overloaded(now, s):
--- a/core/route/tenant.go
+++ b/core/route/tenant.go
@@ -9,6 +9,9 @@
 	"github.com/cockroachdb/errors"
 )
 
+// NoPriority is the priority of a tenant whose requests have that of their route.
+const NoPriority = -1
+
 // Tenant is a client account. It is immutable.
 type Tenant struct {
 	name     string
@@ -26,8 +29,14 @@
 // Name returns the name, which is passed to replicas.
 func (t *Tenant) Name() string { return t.name }
 
-// Priority returns the priority of the tenant's requests; 0 is the highest.
-func (t *Tenant) Priority() int { return t.priority }
+// PriorityOn returns the priority of the tenant's requests on a route; 0 is the highest.
+// Requests without a tenant, which is nil, have that of the route.
+func (t *Tenant) PriorityOn(r *Route) int {
+	if t == nil || t.priority == NoPriority {
+		return r.Priority()
+	}
+	return t.priority
+}
 
 // Rate returns the limit of requests per second over all daemons, or 0 for no limit.
 func (t *Tenant) Rate() float64 { return t.rate }
@@ -51,7 +60,7 @@
 	case !isPrintable(t.name, maxTenantNameBytes):
 		return errors.Wrapf(ErrInvalid, "tenant %.40q: name must be 1 to %d printable ASCII characters without spaces",
 			t.name, maxTenantNameBytes)
-	case t.priority < 0:
+	case t.priority < NoPriority:
 		return errors.Wrapf(ErrInvalid, "tenant %q: priority %d must not be negative", t.name, t.priority)
 	case !(t.rate >= 0 && !math.IsInf(t.rate, 0)), !(t.burst >= 0 && !math.IsInf(t.burst, 0)):
 		return errors.Wrapf(ErrInvalid, "tenant %q: ratePerS %v and burst %v must be finite numbers of at least 0",
--- a/core/route/tenant_test.go
+++ b/core/route/tenant_test.go
@@ -40,7 +40,7 @@
 	for name, tenants := range map[string][]TenantKeys{
 		"empty name":        {{NewTenant("", 0, 0, 0), nil}},
 		"line break":        {{NewTenant("a\r\nb", 0, 0, 0), nil}},
-		"negative priority": {{NewTenant("a", -1, 0, 0), nil}},
+		"negative priority": {{NewTenant("a", -2, 0, 0), nil}},
 		"negative rate":     {{NewTenant("a", 0, -1, 0), nil}},
 		"undefined burst":   {{NewTenant("a", 0, 1, math.NaN()), nil}},
 		"repeated name":     {{NewTenant("a", 0, 0, 0), nil}, {NewTenant("a", 0, 0, 0), nil}},
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -22,6 +22,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/route"
 	"github.com/lovagegap/lovagegap/entry/exchange"
 	"github.com/lovagegap/lovagegap/entry/routing"
 )
@@ -33,6 +34,8 @@
 	ExpectInstance string // set by daemons only; removed from requests of callers
 	Seals          string // seals of the replicas whose replies an answer over many shards contains
 	MissingShards  string // number of shards missing from an answer over many shards
+	Key            string // key of the caller's tenant; empty if there are no tenants
+	Tenant         string // name of the tenant, for replicas; empty if there are no tenants
 }
 
 // Lifecycle reports the state of the daemon. It must be safe for concurrent use.
@@ -70,6 +73,11 @@
 		h.writeAnswer(w, r, refusal)
 		return
 	}
+	authorization, refused, ok := h.authorize(r, matched)
+	if !ok {
+		h.rejectUnauthorized(w, r, path, refused)
+		return
+	}
 	body, err := h.readBody(w, r, matched.Timeout(), int64(positiveOr(limits.MaxBodyBytes(), defaultBodyBytes)))
 	switch {
 	case errors.Is(err, errBodyTooLarge):
@@ -82,7 +90,7 @@
 		h.reject(w, r, path, http.StatusBadRequest, "request body is incomplete or malformed")
 		return
 	}
-	answer := h.engine.Serve(r.Context(), matched, h.newRequest(r, body))
+	answer := h.engine.Serve(r.Context(), matched, h.newRequest(r, body, authorization))
 	h.writeAnswer(w, r, answer)
 }
 
@@ -94,6 +102,24 @@
 	http.Error(w, reason, status)
 }
 
+// authorize checks the key of a request, before its body is read.
+func (h *Handler) authorize(r *http.Request, matched *route.Route) (routing.Authorization, routing.Answer, bool) {
+	if h.headers.Key == "" {
+		return routing.Authorization{}, routing.Answer{}, true
+	}
+	return h.engine.Authorize(matched, r.Header.Values(h.headers.Key))
+}
+
+// rejectUnauthorized answers a request without a valid key. Like reject, it closes the
+// connection instead of reading a body.
+func (h *Handler) rejectUnauthorized(w http.ResponseWriter, r *http.Request, path string, refused routing.Answer) {
+	h.engine.LogUnauthorized(r.Header.Get(h.headers.RequestID), r.Host, path, refused)
+	if r.ContentLength != 0 {
+		w.Header().Set("Connection", "close")
+	}
+	h.writeAnswer(w, r, refused)
+}
+
 // rawPath returns the path of the request as the caller sent it.
 func rawPath(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
@@ -128,19 +154,26 @@
 }
 
 // newRequest returns the request for the engine.
-func (h *Handler) newRequest(r *http.Request, body []byte) routing.Request {
+func (h *Handler) newRequest(r *http.Request, body []byte, authorization routing.Authorization) routing.Request {
 	target := r.RequestURI
 	if !strings.HasPrefix(target, "/") {
 		target = r.URL.RequestURI()
 	}
 	request := routing.Request{
 		ID: r.Header.Get(h.headers.RequestID), Method: r.Method, Target: target,
-		Host: r.Host, Body: body,
+		Host: r.Host, Body: body, Tenant: authorization.Tenant, KeyHash: authorization.KeyHash,
 	}
 	if left, err := strconv.ParseFloat(r.Header.Get(h.headers.Deadline), 64); err == nil && left > 0 {
 		request.Deadline = clock.Millis(left)
 	}
 	request.Header = h.forwardedHeader(r.Header)
+	if authorization.Enforced {
+		request.Header.Del(h.headers.Key)
+		request.Header.Del(h.headers.Tenant)
+		if authorization.Tenant != nil {
+			request.Header.Set(h.headers.Tenant, authorization.Tenant.Name())
+		}
+	}
 	return request
 }
 
--- a/entry/frontend/fuzz_test.go
+++ b/entry/frontend/fuzz_test.go
@@ -58,7 +58,7 @@
 		if err != nil {
 			return
 		}
-		if left := h.newRequest(request.Clone(t.Context()), nil).Deadline; !(left >= 0) || math.IsNaN(float64(left)) {
+		if left := h.newRequest(request.Clone(t.Context()), nil, routing.Authorization{}).Deadline; !(left >= 0) || math.IsNaN(float64(left)) {
 			t.Fatalf("deadline %v", left)
 		}
 		recorder := httptest.NewRecorder()
--- a/entry/gateway/delegates.go
+++ b/entry/gateway/delegates.go
@@ -18,6 +18,7 @@
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/fleet"
+	"github.com/lovagegap/lovagegap/core/route"
 	"github.com/lovagegap/lovagegap/entry/codec"
 	"github.com/lovagegap/lovagegap/entry/routing"
 )
@@ -49,6 +50,7 @@
 	Priority    int                 `cbor:"12,keyasint"`
 	TopK        int                 `cbor:"13,keyasint"`
 	Regions     []string            `cbor:"14,keyasint,omitempty"`
+	Tenant      string              `cbor:"15,keyasint,omitempty"` // name, or ""
 }
 
 // gatherReply is one report on the shards of a gatherRequest, with the merged records
@@ -69,12 +71,15 @@
 }
 
 func newGatherRequest(request routing.GatherRequest) gatherRequest {
-	r := request.Request
+	r, tenant := request.Request, ""
+	if r.Tenant != nil {
+		tenant = r.Tenant.Name()
+	}
 	return gatherRequest{
 		RequestID: r.ID, Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Body: r.Body,
 		TimeLeftMs: float64(r.Deadline), ObjectiveMs: float64(request.Objective),
 		ReportInMs: float64(request.ReportIn), Route: request.Route, Services: request.Services,
-		Priority: request.Priority, TopK: request.TopK, Regions: request.AllowedRegions,
+		Priority: request.Priority, TopK: request.TopK, Regions: request.AllowedRegions, Tenant: tenant,
 	}
 }
 
@@ -98,10 +103,14 @@
 }
 
 func (r gatherRequest) toRouting() routing.GatherRequest {
+	var tenant *route.Tenant
+	if r.Tenant != "" {
+		tenant = route.NewTenant(r.Tenant, r.Priority, 0, 0)
+	}
 	return routing.GatherRequest{
 		Request: routing.Request{
 			ID: r.RequestID, Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Body: r.Body,
-			Deadline: clock.Millis(r.TimeLeftMs),
+			Deadline: clock.Millis(r.TimeLeftMs), Tenant: tenant,
 		},
 		Objective: clock.Millis(r.ObjectiveMs), ReportIn: clock.Millis(r.ReportInMs), Route: r.Route,
 		Services: r.Services, Priority: r.Priority, TopK: r.TopK, AllowedRegions: r.Regions,
--- a/entry/gateway/delegates_test.go
+++ b/entry/gateway/delegates_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/fleet"
+	"github.com/lovagegap/lovagegap/core/route"
 	"github.com/lovagegap/lovagegap/entry/codec"
 	"github.com/lovagegap/lovagegap/entry/routing"
 )
@@ -161,3 +162,21 @@
 	require.NoError(t, codec.NewDecoder(response.Body).Decode(&reply))
 	assert.True(t, reply.NotRun)
 }
+
+// Guards against a delegated request without its tenant, or with its key or the key's
+// hash, which must not leave the daemon.
+func TestGatherRequestNamesTenantWithoutKey(t *testing.T) {
+	hash := route.NewKeyHasher([]byte("secret")).Hash("key-1")
+	request := threeShardRequest
+	request.Request.Tenant, request.Request.KeyHash = route.NewTenant("acme", 1, 5, 5), hash
+	request.Priority = 2
+	text, err := codec.Encode(newGatherRequest(request))
+	require.NoError(t, err)
+	assert.False(t, bytes.Contains(text, hash[:]) || bytes.Contains(text, []byte("key-1")))
+	var wire gatherRequest
+	require.NoError(t, codec.Decode(text, &wire))
+	decoded := wire.toRouting().Request
+	assert.Equal(t, "acme", decoded.Tenant.Name())
+	assert.Zero(t, decoded.KeyHash)
+	assert.Nil(t, newGatherRequest(threeShardRequest).toRouting().Request.Tenant)
+}
--- /dev/null
+++ b/entry/routing/authorization_test.go
@@ -0,0 +1,111 @@
+package routing
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lovagegap/lovagegap/core/replica"
+	"github.com/lovagegap/lovagegap/core/route"
+)
+
+// configureTenants puts a route in force whose tenants have the keys.
+func (l *loggedEngine) configureTenants(version uint64, spec route.Spec, keysByTenant map[string][]string) {
+	spec.Name, spec.Host, spec.Prefix = "search", "h", "/"
+	spec.Timeout, spec.Objective, spec.MaxAttempts = 2400, 600, 2
+	r, err := route.NewRoute(spec)
+	require.NoError(l.t, err)
+	var services []route.Service
+	for _, name := range r.Services() {
+		services = append(services, route.NewService(name, 10, 0))
+	}
+	table, err := route.NewTable(version, []*route.Route{r}, services, route.Limits{})
+	require.NoError(l.t, err)
+	var tenants []route.TenantKeys
+	for name, keys := range keysByTenant {
+		tenants = append(tenants, route.TenantKeys{Tenant: route.NewTenant(name, 1, 0, 0), Keys: keys})
+	}
+	table, err = table.WithTenants(route.NewKeyHasher([]byte("secret")), tenants)
+	require.NoError(l.t, err)
+	l.ApplyUpdates([]StoreUpdate{{Table: table}})
+}
+
+// serveWithKey authorizes and serves a request.
+func (l *loggedEngine) serveWithKey(id, key string) Answer {
+	r, refused := l.MatchRoute("h", "/a")
+	require.NotNil(l.t, r, refused.Reason())
+	authorization, refused, ok := l.Authorize(r, []string{key})
+	if !ok {
+		return refused
+	}
+	return l.Serve(l.t.Context(), r, Request{
+		ID: id, Method: http.MethodGet, Target: "/a", Host: "h", Header: http.Header{"Id": {id}}, Deadline: 2400,
+		Tenant: authorization.Tenant, KeyHash: authorization.KeyHash,
+	})
+}
+
+// Guards against a request that runs after the removal of its key: one that waits for a
+// retry, and one whose body arrives late. One whose key stays must go on.
+func TestWaitingRequestIsRefusedWhenKeyIsRemoved(t *testing.T) {
+	for name, c := range map[string]struct {
+		left   []string // keys in the new configuration
+		status int
+		sent   int
+	}{
+		"removed":               {[]string{"other"}, http.StatusServiceUnavailable, 1},
+		"kept":                  {[]string{"k"}, http.StatusOK, 2},
+		"tenants not used more": {nil, http.StatusOK, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLoggedEngine(t, replica.BudgetPolicy{Ratio: 0.2, Slack: 50})
+			newKeys := map[string][]string{"acme": c.left}
+			if c.left == nil {
+				newKeys = nil
+			}
+			l.configureTenants(1, singleRoute(false), map[string][]string{"acme": {"k"}})
+			arrivals := make(chan struct{}, 9)
+			reply := func(w http.ResponseWriter, r *http.Request) {
+				arrivals <- struct{}{}
+				if len(arrivals) > 1 {
+					replyGood(w, r)
+					return
+				}
+				l.configureTenants(2, singleRoute(false), newKeys)
+				w.Header().Set("Id", r.Header.Get("Id"))
+				w.Header().Set("Not-Run", "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+			l.startReplica("s0", "i-0", reply)
+			l.startReplica("s0", "i-1", reply)
+			assert.Equal(t, c.status, l.serveWithKey("r1", "k").Status())
+			assert.Len(t, arrivals, c.sent)
+		})
+	}
+	l := newLoggedEngine(t, replica.BudgetPolicy{})
+	l.startReplica("s0", "i-0", replyAfter(time.Millisecond))
+	l.configureTenants(1, singleRoute(true), map[string][]string{"acme": {"k"}})
+	r, _ := l.MatchRoute("h", "/a")
+	authorization, _, ok := l.Authorize(r, []string{"k"})
+	require.True(t, ok)
+	l.configureTenants(2, singleRoute(true), map[string][]string{"acme": {"other"}})
+	answer := l.Serve(t.Context(), r, Request{ID: "late", Method: http.MethodGet, Target: "/a", Host: "h",
+		Tenant: authorization.Tenant, KeyHash: authorization.KeyHash})
+	assert.Equal(t, http.StatusServiceUnavailable, answer.Status())
+	assert.Equal(t, "the key was removed", answer.Reason())
+}
+
+// Guards against a request that is quarantined because another tenant's equal one crashed
+// replicas, and against fingerprints that change where there are no tenants.
+func TestFingerprintContainsTenant(t *testing.T) {
+	of := func(tenant *route.Tenant, key string) string {
+		r := Request{Method: "GET", Host: "h", Target: "/a", Tenant: tenant, KeyHash: route.NewKeyHasher(nil).Hash(key)}
+		return r.fingerprint().String()
+	}
+	a, b := route.NewTenant("a", 0, 0, 0), route.NewTenant("b", 0, 0, 0)
+	assert.NotEqual(t, of(a, "k"), of(b, "k"))
+	assert.NotEqual(t, of(a, "k"), of(nil, "k"))
+	assert.Equal(t, of(a, "k"), of(a, "other key of the tenant"))
+}
--- a/entry/routing/call.go
+++ b/entry/routing/call.go
@@ -75,6 +75,7 @@
 	}
 	e.running[c] = struct{}{}
 	c.machine = dispatch.New(now, c.route, deadline, resources)
+	c.machine.ForbidAttempts(c.refusedAttempts())
 	c.perform(now, c.machine.Start(now))
 }
 
@@ -144,6 +145,7 @@
 		c.recordNotices(now, attempt, target, reply.Notices())
 	}
 	c.updateQuarantine(now, sent, target.Entry(), result, reply)
+	c.machine.ForbidAttempts(c.refusedAttempts())
 	actions := c.machine.RecordResult(now, attempt, result)
 	e.logStateChange(now, target, result)
 	c.perform(now, actions)
@@ -178,6 +180,7 @@
 	defer e.mu.Unlock()
 	defer c.recoverPanic()
 	now := e.deps.Clock.Now()
+	c.machine.ForbidAttempts(c.refusedAttempts())
 	c.perform(now, c.machine.Tick(now))
 }
 
--- a/entry/routing/crash.go
+++ b/entry/routing/crash.go
@@ -25,7 +25,7 @@
 )
 
 // crashTracker quarantines requests that may crash replicas. Requests with the same
-// method, host, target and body count as the same request, whichever caller sends
+// method, host, target, tenant and body count as the same request, whichever caller sends
 // them to whichever daemon. A request is blocked once two attempts, at different
 // replicas or at different runs of one, have ended with a lost connection and without
 // an answer. The second one must be this daemon's own, over a new connection, and begin
@@ -38,8 +38,14 @@
 	windowStart clock.Millis
 }
 
+// fingerprint identifies the request for the quarantine. The tenant stands for the key,
+// which it must not contain.
 func (r *Request) fingerprint() quarantine.Fingerprint {
-	return quarantine.FingerprintOf(r.Method+" "+r.Host+r.Target, r.Body)
+	head := r.Method + " " + r.Host + r.Target
+	if r.Tenant != nil {
+		head += " " + r.Tenant.Name() // neither a target nor a name contains a space
+	}
+	return quarantine.FingerprintOf(head, r.Body)
 }
 
 // isQuarantined reports whether the request is blocked. The caller holds the lock.
--- a/entry/routing/delegation.go
+++ b/entry/routing/delegation.go
@@ -168,6 +168,7 @@
 		}
 		c.traceEnd(now, action.Attempt(), result)
 	}
+	c.machine.ForbidAttempts(c.refusedAttempts())
 	c.perform(now, c.machine.HandleDelegationReport(now, dispatch.DelegationReport{
 		Covered: part.Covered, Failed: part.Failed, Shed: part.Shed, HedgeDue: part.HedgeDue, Last: last, NotRun: part.NotRun,
 	}))
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -110,6 +110,7 @@
 	Body     []byte
 	Deadline clock.Millis  // time left, or 0 if the caller set no deadline
 	Tenant   *route.Tenant // of the caller's key, or nil
+	KeyHash  route.KeyHash // of the caller's key, if Tenant is set and no daemon delegated the request
 }
 
 // Answer is the result of a request: the reply of a replica, the merged records
