mirror: proof of freshness, and revocation of keys that holds on every daemon

Cause: a daemon that is partitioned, frozen, suspended or refused by the store keeps serving keys that newer configurations have removed.

Change: mirror.Reader dates a proof at the sending of the call whose reply brought the mirror up to date, on a clock that counts suspension (entry/boottime: CLOCK_BOOTTIME on Linux, the time of day elsewhere). Daemons pass it on over /v1/mirror with its age and the time for which the request was held. With tenants.strictRevocation, requests with a key are refused as not run when the proof is older than 95 % of revokeMs: at arrival and before each attempt, hedge, retry and delegation. Followers get a later proof at once, and a daemon with an old proof asks three peers. The store gets no further calls.

--- a/core/clock/clock.go
+++ b/core/clock/clock.go
@@ -72,6 +72,12 @@
 	read func() Millis
 }
 
+// New returns a clock that calls read, which must be safe for concurrent use.
+func New(read func() Millis) Clock { return Clock{read: read} }
+
+// IsZero reports whether the clock is the zero value.
+func (c Clock) IsZero() bool { return c.read == nil }
+
 // Now returns the current instant.
 func (c Clock) Now() Millis {
 	if c.read != nil {
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -98,7 +98,7 @@
 	r := newTestReader(&m)
 	call := r.Next(0)
 	assert.Equal(t, List, call.Kind())
-	r.Begin(0)
+	r.Begin(0, 0)
 	r.HandlePage(5, []Item{item("a", 1)}, 7, false)
 	call = r.Next(6)
 	assert.Equal(t, Watch, call.Kind())
@@ -107,7 +107,7 @@
 	var delays []clock.Millis
 	now := clock.Millis(2000)
 	for range 6 {
-		r.Begin(now)
+		r.Begin(now, now)
 		r.RecordFailure(now, ErrUnavailable)
 		delays = append(delays, r.Next(now).At()-now)
 		now = r.Next(now).At()
@@ -144,12 +144,12 @@
 func TestPeersAreAskedWhileStoreIsSilent(t *testing.T) {
 	var m Mirror
 	r := newTestReader(&m)
-	assert.True(t, r.StartPeerRequest(1), "a daemon that starts asks at once")
+	assert.True(t, r.StartPeerRequest(1, 0), "a daemon that starts asks at once")
 	assert.Equal(t, []string{"a"}, changedKeys(r.HandlePeerReply(5, []Item{item("a", 3)}, true, 3, 100)))
 	r.HandlePage(10, []Item{item("a", 3)}, 4, false)
-	assert.False(t, r.StartPeerRequest(100))
-	assert.True(t, r.StartPeerRequest(10+maxStoreSilence))
-	assert.False(t, r.StartPeerRequest(11+maxStoreSilence), "within peerRequestInterval")
+	assert.False(t, r.StartPeerRequest(100, 0))
+	assert.True(t, r.StartPeerRequest(10+maxStoreSilence, 0))
+	assert.False(t, r.StartPeerRequest(11+maxStoreSilence, 0), "within peerRequestInterval")
 	assert.Empty(t, r.HandlePeerReply(2000, nil, true, 2, 0))
 	assert.Equal(t, []string{"b"}, changedKeys(r.HandlePeerReply(2000, []Item{item("b", 9)}, false, 9, 300)))
 	assert.InDelta(t, 300, float64(r.Age(2000)), 1)
@@ -172,7 +172,7 @@
 	assert.Equal(t, Watch, r.Next(5).Kind(), "both sources are ejected")
 	assert.Equal(t, "p1", r.Next(3+sourceEjectionTime).Peer())
 	require.Equal(t, []string{"b"}, changedKeys(r.HandleFollowReply(3100, "p1", []Item{item("b", 11)}, false, 11, 20)))
-	assert.False(t, r.StartPeerRequest(3200))
+	assert.False(t, r.StartPeerRequest(3200, 0))
 }
 
 // Guards against followers that eject a source whose watch only waits because
--- a/core/mirror/reader.go
+++ b/core/mirror/reader.go
@@ -117,6 +117,13 @@
 	startedAt       clock.Millis            // start of the daemon
 	sources         []string                // daemons that may be followed, in order of preference
 	ejectedUntil    map[string]clock.Millis // by source
+
+	// The following instants are on the clock that counts suspension.
+	callSentAt    clock.Millis
+	listingSentAt clock.Millis // when the first page of the listing was requested
+	provenAt      clock.Millis
+	proven        bool
+	maxProofAge   clock.Millis
 }
 
 // NewReader returns a reader that fills m, for a daemon that starts now. It uses
@@ -160,22 +167,27 @@
 	}
 }
 
-// Begin records the start of the call that Next has returned.
-func (r *Reader) Begin(now clock.Millis) { r.callStartedAt = now }
+// Begin records the start of the call that Next has returned, before it is sent. SentAt is
+// the same instant on the clock that counts suspension.
+func (r *Reader) Begin(now, sentAt clock.Millis) { r.callStartedAt, r.callSentAt = now, sentAt }
 
 // HandlePage adds a page of a listing. With the last page, which is one with more
 // unset or without items, it applies the listing and returns the changes.
 func (r *Reader) HandlePage(now clock.Millis, items []Item, revision uint64, more bool) []Item {
 	r.recordStoreAnswer(now)
 	if r.afterKey == "" {
-		r.listing, r.listingRevision = nil, revision
+		r.listing, r.listingRevision, r.listingSentAt = nil, revision, r.callSentAt
 	}
 	r.listing = append(r.listing, items...)
 	if more && len(items) > 0 {
 		r.afterKey = items[len(items)-1].key
 		return nil
 	}
+	current := r.listingRevision >= r.mirror.Revision()
 	changes := r.mirror.Replace(now, r.listing, r.listingRevision)
+	if current {
+		r.prove(r.listingSentAt)
+	}
 	r.needsListing, r.afterKey, r.listing = false, "", nil
 	return changes
 }
@@ -183,7 +195,12 @@
 // HandleEvents applies the reply of a watch and returns the changes.
 func (r *Reader) HandleEvents(now clock.Millis, events []Item, revision uint64) []Item {
 	r.recordStoreAnswer(now)
-	return r.mirror.Apply(now, events, revision)
+	current := revision >= r.mirror.Revision()
+	changes := r.mirror.Apply(now, events, revision)
+	if current {
+		r.prove(r.callSentAt)
+	}
+	return changes
 }
 
 // recordStoreAnswer ends the backoff after failures.
@@ -211,14 +228,15 @@
 }
 
 // StartPeerRequest reports whether to read from the mirror of a peer now, because
-// the store has been silent. If so, it records the request.
-func (r *Reader) StartPeerRequest(now clock.Millis) bool {
+// the store has been silent or the proof is old. If so, it records the request.
+// SuspendingNow is the same instant on the clock that counts suspension.
+func (r *Reader) StartPeerRequest(now, suspendingNow clock.Millis) bool {
 	silence := now - max(r.storeAnsweredAt, r.startedAt)
 	if r.storeAnsweredAt == 0 {
 		// A daemon that starts reads from a peer at once, as the store may be unavailable.
 		silence += maxStoreSilence
 	}
-	if silence < maxStoreSilence || (r.peerRequestedAt > 0 && now < r.peerRequestedAt+peerRequestInterval) {
+	if (silence < maxStoreSilence && !r.ProofOld(suspendingNow)) || (r.peerRequestedAt > 0 && now < r.peerRequestedAt+peerRequestInterval) {
 		return false
 	}
 	r.peerRequestedAt = now
--- a/entry/gateway/configuration.go
+++ b/entry/gateway/configuration.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/mirror"
 	"github.com/lovagegap/lovagegap/core/replica"
 )
 
@@ -171,12 +172,17 @@
 // Config returns the part of the process configuration that the gateway uses. The
 // names of headers and the prefixes of the store are left empty.
 func (p *ProcessConfig) Config() Config {
+	maxProofAge := clock.Millis(0)
+	if p.Tenants.StrictRevocation {
+		maxProofAge = mirror.MaxProofAge(clock.Millis(p.Tenants.RevokeMs))
+	}
 	return Config{
 		Name: p.Name, DataCentre: p.DataCentre, Region: p.Region, CallerAddress: p.Callers, PeerAddress: p.Peers,
 		Seeds: p.Seeds, Key: []byte(p.Key),
 		RetryBudget: replica.BudgetPolicy{
 			Ratio: p.Repeats.Ratio, Slack: p.Repeats.Slack, Window: clock.Second * clock.Millis(p.Repeats.WindowS),
 		},
+		MaxProofAge:     maxProofAge,
 		GracePeriod:     clock.Second * clock.Millis(p.GraceS),
 		AddressLifetime: clock.Second * clock.Millis(p.LifetimeS),
 	}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/lovagegap/lovagegap/core/fleet"
 	"github.com/lovagegap/lovagegap/core/mirror"
 	"github.com/lovagegap/lovagegap/core/replica"
+	"github.com/lovagegap/lovagegap/entry/boottime"
 	"github.com/lovagegap/lovagegap/entry/exchange"
 	"github.com/lovagegap/lovagegap/entry/frontend"
 	"github.com/lovagegap/lovagegap/entry/membership"
@@ -52,8 +53,9 @@
 	AddressLifetime clock.Millis // for which callers may use the addresses they got
 	ReplicaHeaders  exchange.HeaderNames
 	CallerHeaders   frontend.HeaderNames
-	StorePrefix     string // of the keys of the store that are mirrored
-	RegistryPrefix  string // of the keys under which daemons register in the store; empty for none
+	MaxProofAge     clock.Millis // of the configuration, for requests with a key; 0 for no limit
+	StorePrefix     string       // of the keys of the store that are mirrored
+	RegistryPrefix  string       // of the keys under which daemons register in the store; empty for none
 }
 
 // Page is a page of a listing of the store, or a batch of its changes. More
@@ -91,8 +93,11 @@
 	Interpreter Interpreter
 	Log         logr.Logger
 	Clock       clock.Clock
-	Random      *rand.Rand
-	Meter       routing.Meter
+	// SuspendingClock also counts the time during which the machine is suspended. The zero
+	// value stands for boottime.Clock.
+	SuspendingClock clock.Clock
+	Random          *rand.Rand
+	Meter           routing.Meter
 	// LogRoutineDecision reports whether the next routine decision is logged; nil
 	// logs none.
 	LogRoutineDecision func() bool
@@ -126,6 +131,9 @@
 // New returns a gateway that listens for callers and peers but serves no
 // connection until Run is called.
 func New(config Config, dependencies Dependencies) (*Gateway, error) {
+	if dependencies.SuspendingClock.IsZero() {
+		dependencies.SuspendingClock = boottime.Clock()
+	}
 	now := dependencies.Clock.Now()
 	g := &Gateway{
 		config: config, dependencies: dependencies, log: dependencies.Log, startedAt: now,
@@ -137,6 +145,7 @@
 	g.delegates = newDelegates(dependencies.Clock, self, config.Key, deriveGenerator(dependencies.Random))
 	g.engine = routing.New(routing.Dependencies{
 		Clock: dependencies.Clock, Log: g.log.WithName("routing"), DataCentre: config.DataCentre,
+		SuspendingClock: dependencies.SuspendingClock, MaxProofAge: config.MaxProofAge,
 		Names: config.ReplicaHeaders, Random: deriveGenerator(dependencies.Random), Budget: config.RetryBudget,
 		Meter: dependencies.Meter, LogRoutine: dependencies.LogRoutineDecision, PublishCrash: g.publishCrash,
 		PublishQuarantine: g.publishQuarantine, Delegates: g.delegates,
--- a/entry/gateway/mirror_peer.go
+++ b/entry/gateway/mirror_peer.go
@@ -87,6 +87,8 @@
 	AfterRevision uint64            `cbor:"2,keyasint"`
 	WaitMs        float64           `cbor:"3,keyasint,omitempty"`
 	Observations  []wireObservation `cbor:"4,keyasint,omitempty"`
+	// ProofAgeMs is the age of the sender's proof, or 0 if its configuration has no tenants.
+	ProofAgeMs float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // mirrorReply is the changes of a daemon's mirror after a revision. AgeMs is the time
@@ -98,6 +100,15 @@
 	AgeMs    float64    `cbor:"4,keyasint"`
 	// Observations are those of this daemon and its other followers.
 	Observations []wireObservation `cbor:"5,keyasint,omitempty"`
+	// Proof is absent if the configuration has no tenants.
+	Proof *wireProof `cbor:"6,keyasint,omitempty"`
+}
+
+// wireProof is a proof of freshness as it is sent between daemons. The fields are those
+// of mirror.PeerProof.
+type wireProof struct {
+	AgeMs  float64 `cbor:"1,keyasint"`
+	HeldMs float64 `cbor:"2,keyasint"`
 }
 
 func (r mirrorReply) items() []mirror.Item {
--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -51,11 +51,17 @@
 		changed: make(chan struct{}), callCounts: make(map[string]int64),
 	}
 	s.reader = mirror.NewReader(g.startedAt, &s.mirror, deriveGenerator(g.dependencies.Random))
+	s.reader.SetMaxProofAge(g.config.MaxProofAge)
 	return s
 }
 
 func (s *mirrorSyncer) now() clock.Millis { return s.gateway.dependencies.Clock.Now() }
 
+// suspendingNow returns the current instant on the clock that counts suspension.
+func (s *mirrorSyncer) suspendingNow() clock.Millis {
+	return s.gateway.dependencies.SuspendingClock.Now()
+}
+
 // run reads the store, or follows a peer, until ctx ends.
 func (s *mirrorSyncer) run(ctx context.Context) {
 	var wait sync.WaitGroup
@@ -97,7 +103,7 @@
 	ctx, cancel := context.WithTimeout(parent, call.Timeout().Duration())
 	defer cancel()
 	s.mu.Lock()
-	s.reader.Begin(s.now())
+	s.reader.Begin(s.now(), s.suspendingNow())
 	s.mu.Unlock()
 	if call.Kind() == mirror.Follow {
 		s.followPeer(ctx, call)
@@ -143,6 +149,12 @@
 		Sender: s.gateway.config.PeerAddress, AfterRevision: call.AfterRevision(), WaitMs: float64(call.Wait()),
 		Observations: encodeObservations(s.gateway.engine.Observations()),
 	}
+	sentAt := s.suspendingNow()
+	if s.gateway.engine.HasTenants() {
+		s.mu.Lock()
+		request.ProofAgeMs = float64(s.reader.ProofAge(sentAt))
+		s.mu.Unlock()
+	}
 	reply, err := fetchMirror(ctx, s.gateway.config.Key, call.Peer(), request)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -152,15 +164,27 @@
 		s.log.Info("following a peer failed", "peer", call.Peer(), "error", err.Error())
 		return
 	}
-	s.applyChanges(s.reader.HandleFollowReply(s.now(), call.Peer(), reply.items(), reply.Complete, reply.Revision,
-		clock.Millis(reply.AgeMs)))
+	changes := s.reader.HandleFollowReply(s.now(), call.Peer(), reply.items(), reply.Complete, reply.Revision,
+		clock.Millis(reply.AgeMs))
+	s.handleProof(sentAt, reply)
+	s.applyChanges(changes)
 	s.applyChanges(s.mirror.Expire(s.now()))
 	s.gateway.engine.ReceiveObservations(decodeObservations(reply.Observations))
 }
 
+// handleProof records the proof in the reply of a peer to a request that was sent at an
+// instant. The caller holds the lock, and has applied the reply to the mirror.
+func (s *mirrorSyncer) handleProof(sentAt clock.Millis, reply mirrorReply) {
+	if reply.Proof != nil {
+		s.reader.HandlePeerProof(sentAt, s.suspendingNow(), reply.Revision,
+			mirror.PeerProof{Age: clock.Millis(reply.Proof.AgeMs), Held: clock.Millis(reply.Proof.HeldMs)})
+	}
+}
+
 // applyChanges applies changes of the mirror: registrations of daemons become seeds
-// of the tracker, all other items updates of the engine. It wakes the followers that
-// wait for changes. The caller holds the lock.
+// of the tracker, all other items updates of the engine. After these the engine gets the
+// proof, which holds only with them. It wakes the followers that wait for changes. The
+// caller holds the lock.
 func (s *mirrorSyncer) applyChanges(changes []mirror.Item) {
 	now := s.now()
 	s.gateway.engine.RecordStoreView(now - s.reader.Age(now))
@@ -182,7 +206,11 @@
 	if len(updates) > 0 {
 		s.gateway.engine.ApplyUpdates(updates)
 	}
-	if len(changes) > 0 {
+	advanced := false
+	if provenAt, proven := s.reader.ProvenAt(); proven {
+		advanced = s.gateway.engine.RecordProof(provenAt)
+	}
+	if len(changes) > 0 || advanced {
 		close(s.changed)
 		s.changed = make(chan struct{})
 	}
@@ -247,9 +275,9 @@
 	for sleep(ctx, clock.FromDuration(peerPollInterval)) {
 		s.mu.Lock()
 		now := s.now()
-		due := s.reader.StartPeerRequest(now)
+		due := s.reader.StartPeerRequest(now, s.suspendingNow())
 		count := 1
-		if !s.mirror.Complete() {
+		if !s.mirror.Complete() || s.reader.ProofOld(s.suspendingNow()) {
 			count = firstCopySources
 		}
 		s.applyChanges(s.mirror.Expire(now))
@@ -269,9 +297,9 @@
 	}
 }
 
-// firstCopySources is the number of peers that a daemon without a copy asks. One of them
-// may have been cut off from the store for long, and its copy may list replicas that
-// left since. The later requests transfer only what is newer.
+// firstCopySources is the number of peers that a daemon without a copy asks, or one whose
+// proof is old. One of them may have been cut off from the store for long, and its copy may
+// list replicas that left since. The later requests transfer only what is newer.
 const firstCopySources = 3
 
 func (s *mirrorSyncer) requestFromPeer(ctx context.Context, peer string) {
@@ -281,6 +309,7 @@
 		after = 0
 	}
 	s.mu.Unlock()
+	sentAt := s.suspendingNow()
 	reply, err := fetchMirror(ctx, s.gateway.config.Key, peer,
 		mirrorRequest{Sender: s.gateway.config.PeerAddress, AfterRevision: after})
 	if err != nil {
@@ -291,27 +320,31 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.applyChanges(s.reader.HandlePeerReply(s.now(), reply.items(), reply.Complete, reply.Revision,
-		clock.Millis(reply.AgeMs)))
+	changes := s.reader.HandlePeerReply(s.now(), reply.items(), reply.Complete, reply.Revision, clock.Millis(reply.AgeMs))
+	s.handleProof(sentAt, reply)
+	s.applyChanges(changes)
 }
 
 // waitForChanges returns the changes that a follower does not have yet. If there are
-// none, it waits for them up to the follower's limit.
+// none, it waits for them up to the follower's limit. It also returns when this daemon has
+// a later proof, by whose age the follower's would otherwise grow.
 func (s *mirrorSyncer) waitForChanges(ctx context.Context, request mirrorRequest) mirrorReply {
+	arrivedAt := s.suspendingNow()
 	s.recordObservations(request)
 	limit := time.After(min(clock.Millis(request.WaitMs), maxFollowWait).Duration())
 	for {
 		s.mu.Lock()
 		changed := s.changed
 		s.mu.Unlock()
-		reply := s.changesFor(request)
-		if request.WaitMs <= 0 || reply.Revision == 0 || len(reply.Items) > 0 {
+		reply, newerProof := s.changesFor(request, arrivedAt)
+		if request.WaitMs <= 0 || reply.Revision == 0 || len(reply.Items) > 0 || newerProof {
 			return reply
 		}
 		select {
 		case <-changed:
 		case <-limit:
-			return s.changesFor(request)
+			reply, _ := s.changesFor(request, arrivedAt)
+			return reply
 		case <-ctx.Done():
 			return reply
 		}
@@ -341,16 +374,17 @@
 	return s.observations.Excluding(daemon)
 }
 
-// changesFor returns the changes after the revision of a peer. The reply is empty
-// while the mirror is incomplete.
-func (s *mirrorSyncer) changesFor(request mirrorRequest) mirrorReply {
+// changesFor returns the changes after the revision of a peer whose request arrived at an
+// instant, and whether the peer needs the proof. The reply is empty while the mirror is
+// incomplete.
+func (s *mirrorSyncer) changesFor(request mirrorRequest, arrivedAt clock.Millis) (reply mirrorReply, newerProof bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.mirror.Complete() {
-		return mirrorReply{}
+		return mirrorReply{}, false
 	}
 	items, complete, revision := s.mirror.ChangesSince(request.AfterRevision)
-	reply := mirrorReply{
+	reply = mirrorReply{
 		Complete: complete, Revision: revision, AgeMs: float64(s.reader.Age(s.now())),
 		Observations: encodeObservations(s.observationsFor(request.Sender)),
 	}
@@ -359,5 +393,12 @@
 			Key: item.Key(), Value: item.Value(), Revision: item.Revision(), Removed: item.Removed(),
 		})
 	}
-	return reply
+	if !s.gateway.engine.HasTenants() {
+		return reply, false
+	}
+	now := s.suspendingNow()
+	if proof, proven := s.reader.StateProof(now, arrivedAt); proven {
+		reply.Proof = &wireProof{AgeMs: float64(proof.Age), HeldMs: float64(proof.Held)}
+	}
+	return reply, s.reader.HasNewerProof(now, arrivedAt, clock.Millis(request.ProofAgeMs)) && request.ProofAgeMs > 0
 }
--- a/entry/gateway/mirror_syncer_test.go
+++ b/entry/gateway/mirror_syncer_test.go
@@ -12,6 +12,7 @@
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/mirror"
 	"github.com/lovagegap/lovagegap/core/replica"
+	"github.com/lovagegap/lovagegap/core/route"
 	"github.com/lovagegap/lovagegap/entry/routing"
 	"github.com/lovagegap/lovagegap/entry/telemetry"
 )
@@ -105,3 +106,54 @@
 		g.handleRecord(newCrashRecord("12/"+id, id))
 	}
 }
+
+// tenantTable is an Interpreter that puts a configuration with a tenant in force.
+type tenantTable struct{ t *testing.T }
+
+func (i tenantTable) Updates(item mirror.Item) []routing.StoreUpdate {
+	table, err := route.NewTable(item.Revision(), nil, nil, route.Limits{})
+	require.NoError(i.t, err)
+	table, err = table.WithTenants(route.NewKeyHasher(nil), []route.TenantKeys{{Tenant: route.NewTenant("a", 0, 0, 0), Keys: []string{"k"}}})
+	require.NoError(i.t, err)
+	return []routing.StoreUpdate{{Table: table}}
+}
+
+// Guards against a proof that is not passed on with the time for which the request was
+// held, against a follower that gets a later proof only at the end of its wait, and against
+// proofs in the messages of a deployment without tenants.
+func TestProofIsPassedOnToFollower(t *testing.T) {
+	for name, interpreter := range map[string]Interpreter{"tenants": tenantTable{t}, "no tenants": noUpdates{}} {
+		t.Run(name, func(t *testing.T) {
+			manual := &clock.Manual{}
+			s := newTestGateway(t).mirrorSyncer
+			s.gateway.dependencies.Interpreter, s.gateway.dependencies.SuspendingClock = interpreter, manual.Clock()
+			s.reader.Begin(s.now(), s.suspendingNow())
+			s.applyChanges(s.reader.HandlePage(s.now(), []mirror.Item{mirror.NewItem("a", nil, 3)}, 3, false))
+			manual.Advance(1000)
+			request := mirrorRequest{Sender: "b", AfterRevision: 3, WaitMs: 300}
+			if s.gateway.engine.HasTenants() {
+				request.ProofAgeMs, request.WaitMs = 1010, 30_000
+			}
+			arrived, reply := make(chan struct{}), make(chan mirrorReply)
+			go func() {
+				close(arrived)
+				reply <- s.waitForChanges(t.Context(), request)
+			}()
+			<-arrived
+			time.Sleep(100 * time.Millisecond) // until the request waits
+			manual.Advance(400)
+			s.mu.Lock()
+			s.reader.Begin(s.now(), s.suspendingNow())
+			manual.Advance(50)
+			s.applyChanges(s.reader.HandleEvents(s.now(), nil, 3))
+			s.mu.Unlock()
+			got := <-reply
+			if !s.gateway.engine.HasTenants() {
+				assert.Nil(t, got.Proof)
+				return
+			}
+			require.NotNil(t, got.Proof)
+			assert.Equal(t, wireProof{AgeMs: 50, HeldMs: 450}, *got.Proof)
+		})
+	}
+}
--- a/entry/routing/authorization.go
+++ b/entry/routing/authorization.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/route"
 )
 
@@ -20,7 +21,7 @@
 // must not run, it returns false and the answer to give.
 func (e *Engine) Authorize(r *route.Route, keys []string) (Authorization, Answer, bool) {
 	e.mu.Lock()
-	table := e.table
+	table, stale := e.table, e.configurationStale()
 	e.mu.Unlock()
 	switch {
 	case !table.HasTenants():
@@ -31,6 +32,8 @@
 		return Authorization{}, refusal(http.StatusBadRequest, "the key is given more than once", 0), false
 	case len(keys) == 0 || keys[0] == "":
 		return Authorization{}, refusal(http.StatusUnauthorized, "the route requires a key", 0), false
+	case stale:
+		return Authorization{}, refusal(http.StatusServiceUnavailable, staleReason, staleRetryAfter), false
 	}
 	if hash, ok := table.HashKey(keys[0]); ok {
 		if tenant, ok := table.TenantOfHash(hash); ok {
@@ -40,12 +43,50 @@
 	return Authorization{}, refusal(http.StatusUnauthorized, "the key is unknown", 0), false
 }
 
+const (
+	staleReason = "the configuration may be outdated, so keys cannot be checked"
+	// staleRetryAfter is short, because another daemon may have a newer proof.
+	staleRetryAfter = 100 * clock.Millisecond
+)
+
+// RecordProof records that the updates applied so far contain all changes of the store up
+// to an instant on the clock that counts suspension. It reports whether that is later than
+// before and matters, because there are tenants.
+func (e *Engine) RecordProof(at clock.Millis) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.proven && at <= e.provenAt {
+		return false
+	}
+	e.provenAt, e.proven = at, true
+	return e.table != nil && e.table.HasTenants()
+}
+
+// HasTenants reports whether the configuration in force has tenants.
+func (e *Engine) HasTenants() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.table != nil && e.table.HasTenants()
+}
+
+// configurationStale reports whether the proof is too old for requests with a key. The
+// caller holds the lock.
+func (e *Engine) configurationStale() bool {
+	return e.deps.MaxProofAge > 0 && (!e.proven || e.deps.SuspendingClock.Now()-e.provenAt > e.deps.MaxProofAge)
+}
+
 // refusedAttempts returns the reason for which the request may make no further attempts,
-// or "": its key is no longer one of its tenant. The key of a delegated request was checked
-// by the delegating daemon. The caller holds the lock.
+// or "": the configuration may be outdated, or the key is no longer one of the tenant. The
+// key of a delegated request was checked by the delegating daemon. The caller holds the
+// lock.
 func (c *call) refusedAttempts() string {
 	table := c.engine.table
-	if c.request.Tenant == nil || c.delegated || !table.HasTenants() {
+	switch {
+	case c.request.Tenant == nil:
+		return ""
+	case c.engine.configurationStale():
+		return staleReason
+	case c.delegated || !table.HasTenants():
 		return ""
 	}
 	if tenant, ok := table.TenantOfHash(c.request.KeyHash); !ok || tenant.Name() != c.request.Tenant.Name() {
--- a/entry/routing/authorization_test.go
+++ b/entry/routing/authorization_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/replica"
 	"github.com/lovagegap/lovagegap/core/route"
 )
@@ -109,3 +111,81 @@
 	assert.NotEqual(t, of(a, "k"), of(nil, "k"))
 	assert.Equal(t, of(a, "k"), of(a, "other key of the tenant"))
 }
+
+// newStrictEngine returns an engine that refuses requests with a key once its proof is
+// older than 4750 ms, and its clock that counts suspension, which reads 0.
+func newStrictEngine(t *testing.T) (*loggedEngine, *clock.Manual) {
+	l := newLoggedEngine(t, replica.BudgetPolicy{Ratio: 0.2, Slack: 50})
+	manual := &clock.Manual{}
+	l.deps.SuspendingClock, l.deps.MaxProofAge = manual.Clock(), 4750
+	return l, manual
+}
+
+// Guards against requests with a key at a daemon whose configuration may be outdated: one
+// without a proof, and one that was partitioned, frozen or suspended. Also guards against
+// the refusal of requests that need no key.
+func TestOldProofRefusesRequestsWithKey(t *testing.T) {
+	l, manual := newStrictEngine(t)
+	l.startReplica("s0", "i-0", replyGood)
+	l.configureTenants(1, singleRoute(true), map[string][]string{"acme": {"k"}})
+	expect := func(status int, when string) {
+		t.Helper()
+		answer := l.serveWithKey("r1", "k")
+		assert.Equal(t, status, answer.Status(), when)
+		if status == http.StatusServiceUnavailable {
+			assert.Positive(t, answer.RetryAfter(), when)
+		}
+	}
+	expect(http.StatusServiceUnavailable, "no proof")
+	assert.True(t, l.RecordProof(0))
+	expect(http.StatusOK, "proof just made")
+	manual.Advance(4750)
+	expect(http.StatusOK, "at the limit")
+	manual.Advance(1)
+	expect(http.StatusServiceUnavailable, "beyond the limit")
+	assert.False(t, l.RecordProof(-10), "older proof")
+	expect(http.StatusServiceUnavailable, "older proof")
+	l.RecordProof(4700)
+	expect(http.StatusOK, "new proof")
+	manual.Advance(clock.Hour)
+	expect(http.StatusServiceUnavailable, "resumed after a suspension")
+
+	l.deps.MaxProofAge = 0
+	expect(http.StatusOK, "revocation not strict")
+	l.deps.MaxProofAge = 4750
+	public := singleRoute(true)
+	public.Public = true
+	l.configureTenants(2, public, map[string][]string{"acme": {"k"}})
+	expect(http.StatusOK, "public route")
+	l.configureTenants(3, singleRoute(true), nil)
+	expect(http.StatusOK, "no tenants")
+}
+
+// Guards against attempts after the proof has become too old while the request waited: a
+// first attempt after a late body, a retry, and those of a delegated request.
+func TestOldProofForbidsFurtherAttempts(t *testing.T) {
+	l, manual := newStrictEngine(t)
+	l.RecordProof(0)
+	l.configureTenants(1, singleRoute(false), map[string][]string{"acme": {"k"}})
+	var arrivals atomic.Int32
+	for _, id := range []string{"i-0", "i-1"} {
+		l.startReplica("s0", id, func(w http.ResponseWriter, r *http.Request) {
+			arrivals.Add(1)
+			manual.Advance(5000)
+			w.Header().Set("Id", r.Header.Get("Id"))
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+	}
+	answer := l.serveWithKey("retry", "k")
+	assert.Equal(t, http.StatusServiceUnavailable, answer.Status())
+	assert.Equal(t, staleReason, answer.Reason())
+	assert.EqualValues(t, 1, arrivals.Load())
+	r, _ := l.MatchRoute("h", "/a")
+	answer = l.Serve(t.Context(), r, Request{ID: "late", Method: http.MethodGet, Target: "/a", Host: "h", Tenant: route.NewTenant("acme", 1, 0, 0)})
+	assert.Equal(t, staleReason, answer.Reason())
+	gather := GatherRequest{Request: Request{ID: "far", Method: http.MethodGet, Target: "/a", Host: "h", Deadline: 400,
+		Tenant: route.NewTenant("acme", 1, 0, 0)}, Route: "search", Services: []string{"s0"}, Objective: 100, ReportIn: 20, TopK: 2}
+	assert.True(t, l.Gather(t.Context(), gather, func(Part) {}).NotRun)
+	assert.EqualValues(t, 1, arrivals.Load())
+}
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -32,13 +32,18 @@
 
 // Dependencies holds the collaborators and fixed settings of an engine.
 type Dependencies struct {
-	Clock      clock.Clock
-	Log        logr.Logger
-	DataCentre string
-	Names      exchange.HeaderNames
-	Random     *rand.Rand
-	Budget     replica.BudgetPolicy
-	Meter      Meter
+	Clock clock.Clock
+	// SuspendingClock also counts the time during which the machine is suspended.
+	SuspendingClock clock.Clock
+	// MaxProofAge is the age of the proof of RecordProof above which requests with a key
+	// are refused; 0 means no limit.
+	MaxProofAge clock.Millis
+	Log         logr.Logger
+	DataCentre  string
+	Names       exchange.HeaderNames
+	Random      *rand.Rand
+	Budget      replica.BudgetPolicy
+	Meter       Meter
 	// LogRoutine reports whether to log a request that was served in time; nil
 	// logs none of them.
 	LogRoutine func() bool
@@ -81,6 +86,8 @@
 	stopAt            clock.Millis // when the daemon exits, or 0 if no stop is planned
 	storeViewTime     clock.Millis // time up to which changes of the store are known
 	panics            int64        // events whose handling panicked
+	provenAt          clock.Millis // of the latest proof, on the clock that counts suspension
+	proven            bool         // whether there is a proof
 }
 
 // New returns an engine without a configuration. It refuses requests until
