dispatch: the priority of a tenant precedes that of its route

Cause: in an overload only the priority of the route decides who is admitted, so urgent and unhurried tenants on one route are treated alike.

Change: with tenants, the priority of the tenant counts on routes that are not public, in the limit of admission, in the load above which hedges stop, and in the part of the retry budget that is left to higher priorities. 35 % of the requests of each tenant count as of the highest priority; without that a lasting overload admitted none of the lowest one. Deployments without tenants behave as before. Routes have no queue of their own in a daemon, so there is none to order.

--- a/core/dispatch/admission.go
+++ b/core/dispatch/admission.go
@@ -13,11 +13,21 @@
 	// queue wait and service time of an admitted request may sum. It is above one
 	// because the estimate assumes that replicas work one after the other.
 	admissionFactor = 1.2
-	// lowPriorityFactor and returningFactor multiply that limit for routes below
+	// lowPriorityFactor and returningFactor multiply that limit for requests below
 	// the highest priority of their services, and for requests that return after a
-	// refusal.
+	// refusal. For tenants the first one applies once for each higher priority.
 	lowPriorityFactor = 0.85
 	returningFactor   = 1.25
+	// maxTenantRank bounds the number of higher priorities that reduce what the requests of a
+	// tenant get.
+	maxTenantRank = 3
+	// highestRankShare is the fraction of the requests of each tenant that are treated as of
+	// the highest priority. Otherwise a lasting overload admits none of the lowest one: the
+	// queues settle just above its limit.
+	highestRankShare = 0.35
+	// rankReserveFraction is the fraction of the retry budget that the requests of a tenant
+	// leave to those of each higher priority.
+	rankReserveFraction = 0.15
 	// returningTimeFraction is the fraction of the route's timeout below which the
 	// time left marks a request as returning.
 	returningTimeFraction = 0.85
@@ -87,7 +97,10 @@
 		return true, 0 // admitted by the delegating daemon
 	}
 	limit := q.route.Objective() * admissionFactor
-	if q.lowPriority {
+	switch {
+	case q.tenantRank > 0:
+		limit *= q.rankFactor()
+	case q.lowPriority:
 		limit *= lowPriorityFactor
 	}
 	if q.returning {
@@ -112,10 +125,16 @@
 	return q.shards[0].pool.KnowsLoad(now) || q.admission.waitingFraction > maxWaitingFraction
 }
 
+// rankFactor returns the factor for the limits on the requests of the tenant.
+func (q *Request) rankFactor() clock.Millis {
+	return clock.Millis(math.Pow(lowPriorityFactor, float64(q.tenantRank)))
+}
+
 // overloaded reports whether another attempt for the shard would only lengthen the
 // queues: many exchanges wait at their replicas, or the shard has a backlog. A daemon of
 // a large fleet sends a shard too few requests to know its backlog.
 func (q *Request) overloaded(now clock.Millis, s *shard) bool {
-	return q.admission.waitingFraction > maxWaitingFraction ||
-		(s.pool.KnowsLoad(now) && s.pool.QueueWait(now) > q.route.Objective()*hedgeBacklogFraction)
+	factor := q.rankFactor()
+	return q.admission.waitingFraction > maxWaitingFraction*float64(factor) ||
+		(s.pool.KnowsLoad(now) && s.pool.QueueWait(now) > q.route.Objective()*hedgeBacklogFraction*factor)
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -77,7 +77,9 @@
 	Set         *replica.Set
 	Profile     *LatencyProfile // of the route
 	Admission   *Admission      // of the route's services
-	LowPriority bool            // a route of higher priority shares the services
+	LowPriority bool            // requests of a higher priority share the services
+	TenantRank  int             // number of higher priorities that share them; 0 for requests without a tenant
+	RankDraw    float64         // uniform in [0, 1); may raise the request of a tenant to the highest priority
 	Random      float64         // uniform in [0, 1); selects one of the route's splits
 	// DelegateDataCentres lists the data centres with a daemon that accepts
 	// delegations.
@@ -96,6 +98,7 @@
 	profile             *LatencyProfile
 	admission           *Admission
 	lowPriority         bool
+	tenantRank          int // at most maxTenantRank
 	delegateDataCentres []string
 	delegated           bool
 	reportAt            clock.Millis
@@ -139,6 +142,7 @@
 	deadline = min(deadline, now+r.Timeout())
 	q := &Request{
 		route: r, profile: res.Profile, admission: res.Admission, lowPriority: res.LowPriority,
+		tenantRank:          min(res.TenantRank, maxTenantRank),
 		delegateDataCentres: res.DelegateDataCentres, reportAt: never,
 		startedAt: now, deadline: deadline, wakeAt: never,
 		returning:       deadline-now < r.Timeout()*returningTimeFraction,
@@ -147,6 +151,9 @@
 		expectedLatency: res.Profile.ExpectedLatency(r.Objective()),
 		serviceTime:     res.Profile.ServiceTime(r.Objective()),
 	}
+	if q.tenantRank > 0 && res.RankDraw > 1-highestRankShare {
+		q.tenantRank, q.lowPriority = 0, false
+	}
 	if res.Delegated {
 		q.delegated = true
 		q.reportAt, q.partialAt = now+res.ReportIn, q.answerBy
--- a/core/dispatch/shard.go
+++ b/core/dispatch/shard.go
@@ -150,7 +150,7 @@
 		q.scheduleRetry(now, i)
 		return
 	}
-	if s.reached > 0 && !s.pool.Budget().Take(now, q.budgetReserve(now)) {
+	if s.reached > 0 && !s.pool.Budget().Take(now, q.budgetReserve(now, s.pool)) {
 		s.starved = true
 		s.retryAt = now + recheckInterval
 		return
@@ -205,12 +205,13 @@
 }
 
 // budgetReserve returns the number of attempts that must remain in the retry
-// budget after this request has taken one.
-func (q *Request) budgetReserve(now clock.Millis) float64 {
+// budget of a pool after this request has taken one.
+func (q *Request) budgetReserve(now clock.Millis, p *replica.Pool) float64 {
+	reserve := p.Budget().Size(now) * rankReserveFraction * float64(q.tenantRank)
 	if now > q.startedAt+q.route.Objective() {
-		return lateRetryReserve
+		return max(reserve, lateRetryReserve)
 	}
-	return 0
+	return reserve
 }
 
 // hedgeReserve returns the number of attempts that hedges leave in the retry budget of a
@@ -285,7 +286,7 @@
 		s.withheld = withheldReplica
 	case r.Overdue(now, q.expectedLatency):
 		s.withheld = withheldOverdue
-	case !s.pool.Budget().Take(now, max(q.budgetReserve(now), hedgeReserve(now, s.pool))):
+	case !s.pool.Budget().Take(now, max(q.budgetReserve(now, s.pool), hedgeReserve(now, s.pool))):
 		s.withheld = withheldNoBudget
 	default:
 		s.withheld = ""
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -120,19 +120,34 @@
 // Services returns the services by name. The map must not be changed.
 func (t *Table) Services() map[string]Service { return t.services }
 
-// HighestPriorities returns the highest priority, that is the lowest number, among the
-// routes to each service.
-func (t *Table) HighestPriorities() map[string]int {
-	priorities := make(map[string]int, len(t.services))
+// Priorities returns the priorities of the requests to each service, without duplicates
+// and the highest, that is the lowest number, first: those of the routes, and on routes
+// that are not public those of the tenants, if there are any.
+func (t *Table) Priorities() map[string][]int {
+	var ofTenants []*Tenant // one of each priority
+	for _, tenant := range t.tenants {
+		if !slices.ContainsFunc(ofTenants, func(other *Tenant) bool { return other.priority == tenant.priority }) {
+			ofTenants = append(ofTenants, tenant)
+		}
+	}
+	priorities := make(map[string][]int, len(t.services))
 	for _, routes := range t.routesByHost {
 		for _, r := range routes {
+			callers := ofTenants
+			if r.Public() || len(callers) == 0 {
+				callers = []*Tenant{nil}
+			}
 			for _, service := range r.Services() {
-				if highest, ok := priorities[service]; !ok || r.Priority() < highest {
-					priorities[service] = r.Priority()
+				for _, tenant := range callers {
+					priorities[service] = append(priorities[service], tenant.PriorityOn(r))
 				}
 			}
 		}
 	}
+	for service, found := range priorities {
+		slices.Sort(found)
+		priorities[service] = slices.Compact(found)
+	}
 	return priorities
 }
 
--- a/core/route/tenant_test.go
+++ b/core/route/tenant_test.go
@@ -51,3 +51,23 @@
 		assert.NotContains(t, err.Error(), "k-1", name)
 	}
 }
+
+// Guards against a tenant's priority that does not take precedence over its route's, and
+// one that counts on public routes.
+func TestPrioritiesOfServices(t *testing.T) {
+	newRoute := func(service string, priority int, public bool) *Route {
+		r, err := NewRoute(Spec{Name: service, Host: "h", Prefix: "/" + service + "/", Timeout: 10, Objective: 5, MaxAttempts: 1,
+			Priority: priority, Public: public, Splits: []Split{NewSplit(service, 1)}})
+		require.NoError(t, err)
+		return r
+	}
+	routes := []*Route{newRoute("a", 4, false), newRoute("a", 2, false), newRoute("b", 7, true)}
+	table, err := NewTable(1, routes, []Service{NewService("a", 0, 0), NewService("b", 0, 0)}, Limits{})
+	require.NoError(t, err)
+	assert.Equal(t, map[string][]int{"a": {2, 4}, "b": {7}}, table.Priorities(), "without tenants")
+	own, first, none := NewTenant("x", 3, 0, 0), NewTenant("y", 0, 0, 0), NewTenant("z", NoPriority, 0, 0)
+	table, err = table.WithTenants(NewKeyHasher(nil), []TenantKeys{{own, nil}, {first, nil}, {none, nil}})
+	require.NoError(t, err)
+	assert.Equal(t, map[string][]int{"a": {0, 2, 3, 4}, "b": {7}}, table.Priorities())
+	assert.Equal(t, []int{3, 0, 4}, []int{own.PriorityOn(routes[0]), first.PriorityOn(routes[0]), none.PriorityOn(routes[0])})
+}
--- a/entry/routing/authorization_test.go
+++ b/entry/routing/authorization_test.go
@@ -189,3 +189,17 @@
 	assert.True(t, l.Gather(t.Context(), gather, func(Part) {}).NotRun)
 	assert.EqualValues(t, 1, arrivals.Load())
 }
+
+// Guards against requests of tenants that are treated by the priority of their route, and
+// against ranks for requests of a deployment without tenants.
+func TestRankFollowsTenantsPriority(t *testing.T) {
+	l := newLoggedEngine(t, replica.BudgetPolicy{})
+	l.configure(singleRoute(true))
+	r, _ := l.MatchRoute("h", "/a")
+	assert.Equal(t, []any{false, 0}, []any{l.resources(r, nil).LowPriority, l.resources(r, nil).TenantRank})
+	l.configureTenants(8, singleRoute(true), map[string][]string{"acme": {"k"}}) // of priority 1
+	for priority, expected := range map[int][]any{1: {false, 0}, 2: {true, 1}} {
+		resources := l.resources(r, route.NewTenant("x", priority, 0, 0))
+		assert.Equal(t, expected, []any{resources.LowPriority, resources.TenantRank}, "priority %d", priority)
+	}
+}
--- a/entry/routing/call.go
+++ b/entry/routing/call.go
@@ -59,7 +59,7 @@
 		c.finish(quarantinedAnswer(), "quarantined", nil)
 		return
 	}
-	resources := e.resources(c.route)
+	resources := e.resources(c.route, c.request.Tenant)
 	switch {
 	case c.delegated:
 		resources.Delegated, resources.ReportIn = true, c.reportIn
--- a/entry/routing/delegation.go
+++ b/entry/routing/delegation.go
@@ -129,7 +129,7 @@
 	e.partition.RecordRemoteAttempt()
 	gather := GatherRequest{
 		Request: c.request, Route: c.route.Name(), Services: action.Shards(),
-		Objective: c.route.Objective(), ReportIn: action.ReportIn(), Priority: c.route.Priority(),
+		Objective: c.route.Objective(), ReportIn: action.ReportIn(), Priority: c.request.Tenant.PriorityOn(c.route),
 		TopK: c.route.TopK(), AllowedRegions: c.route.AllowedRegions(),
 	}
 	gather.Request.Deadline = action.At() - now
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -17,6 +17,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 
 	"github.com/go-logr/logr"
@@ -73,21 +74,21 @@
 	deps   Dependencies
 	client *exchange.Client
 
-	mu                sync.Mutex
-	table             *route.Table
-	replicas          *replica.Set
-	outOfService      map[string]bool
-	profiles          map[string]*dispatch.LatencyProfile
-	admissions        map[string]*dispatch.Admission // by the first service of a route
-	highestPriorities map[string]int                 // of the routes to a service, by service
-	running           map[*call]struct{}
-	partition         dispatch.PartitionDetector
-	crashes           crashTracker
-	stopAt            clock.Millis // when the daemon exits, or 0 if no stop is planned
-	storeViewTime     clock.Millis // time up to which changes of the store are known
-	panics            int64        // events whose handling panicked
-	provenAt          clock.Millis // of the latest proof, on the clock that counts suspension
-	proven            bool         // whether there is a proof
+	mu            sync.Mutex
+	table         *route.Table
+	replicas      *replica.Set
+	outOfService  map[string]bool
+	profiles      map[string]*dispatch.LatencyProfile
+	admissions    map[string]*dispatch.Admission // by the first service of a route
+	priorities    map[string][]int               // of the requests to a service, as route.Table.Priorities returns them
+	running       map[*call]struct{}
+	partition     dispatch.PartitionDetector
+	crashes       crashTracker
+	stopAt        clock.Millis // when the daemon exits, or 0 if no stop is planned
+	storeViewTime clock.Millis // time up to which changes of the store are known
+	panics        int64        // events whose handling panicked
+	provenAt      clock.Millis // of the latest proof, on the clock that counts suspension
+	proven        bool         // whether there is a proof
 }
 
 // New returns an engine without a configuration. It refuses requests until
@@ -283,20 +284,24 @@
 	return p
 }
 
-// resources returns the resources that the requests of a route share. The caller
-// holds the lock.
-func (e *Engine) resources(r *route.Route) dispatch.Resources {
+// resources returns the resources that the requests of a tenant, or nil, on a route
+// share. The caller holds the lock.
+func (e *Engine) resources(r *route.Route, tenant *route.Tenant) dispatch.Resources {
 	service := r.Services()[0]
 	admission := e.admissions[service]
 	if admission == nil {
 		admission = &dispatch.Admission{}
 		e.admissions[service] = admission
 	}
-	return dispatch.Resources{
-		Set: e.replicas, Profile: e.profile(r), Admission: admission,
-		LowPriority: r.Priority() > e.highestPriorities[service],
-		Random:      e.deps.Random.Float64(),
+	resources := dispatch.Resources{
+		Set: e.replicas, Profile: e.profile(r), Admission: admission, Random: e.deps.Random.Float64(),
 	}
+	rank, _ := slices.BinarySearch(e.priorities[service], tenant.PriorityOn(r))
+	resources.LowPriority = rank > 0
+	if tenant != nil {
+		resources.TenantRank, resources.RankDraw = rank, e.deps.Random.Float64()
+	}
+	return resources
 }
 
 // mergeParts merges the parts into one answer with the greatest records of the route's
--- a/entry/routing/updates.go
+++ b/entry/routing/updates.go
@@ -77,7 +77,7 @@
 		return
 	}
 	e.table = table
-	e.highestPriorities = table.HighestPriorities()
+	e.priorities = table.Priorities()
 	e.replicas.SetServices(slices.Collect(maps.Keys(table.Services())))
 	for name, service := range table.Services() {
 		e.replicas.Pool(name).Configure(service.MaxConnections(), service.WarmupRate())
