--- a/entry/frontend/fuzz_test.go
+++ b/entry/frontend/fuzz_test.go
@@ -68,3 +68,57 @@
 		}
 	})
 }
+
+// FuzzKeyHeader guards against a header that ends the daemon, that is taken for a key which
+// it is not, or that reaches a replica as a key or as a tenant of the caller's choice.
+func FuzzKeyHeader(f *testing.F) {
+	const valid = "key-1"
+	for _, seed := range []string{
+		"Key: key-1\r\n", "key: key-1 \r\nTenant: root\r\n", "KEY: key-1\r\nKey: key-1\r\n", "Key:\r\n", "Key: key-1, key-1\r\n",
+		"Connection: Key, Tenant\r\nKey: key-1\r\n", "Key : key-1\r\n", "Key: key-1\x00\r\n", "Key: \xff\xfe\r\nTENANT: a\r\ntenant: b\r\n",
+		"Key: key-\r\n 1\r\n", "Trailer: Key\r\nTransfer-Encoding: chunked\r\n",
+	} {
+		f.Add([]byte(seed))
+	}
+	engine := routing.New(routing.Dependencies{
+		Log: logr.Discard(), DataCentre: "x", Random: rand.New(rand.NewPCG(1, 2)), Meter: &telemetry.Routes{},
+		Budget: replica.BudgetPolicy{Window: clock.Second},
+	})
+	r, err := route.NewRoute(route.Spec{
+		Name: "r", Host: "h", Prefix: "/", Timeout: 100, Objective: 50, MaxAttempts: 1, Splits: []route.Split{route.NewSplit("s", 1)},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	table, err := route.NewTable(1, []*route.Route{r}, []route.Service{route.NewService("s", 1, 0)}, route.Limits{})
+	if err == nil {
+		table, err = table.WithTenants(route.NewKeyHasher([]byte("x")), []route.TenantKeys{{Tenant: route.NewTenant("acme", 0, 0, 0), Keys: []string{valid}}})
+	}
+	if err != nil {
+		f.Fatal(err)
+	}
+	engine.ApplyUpdates([]routing.StoreUpdate{{Table: table}})
+	h := New(engine, HeaderNames{RequestID: "Id", Deadline: "Left", ExpectInstance: "Instance", Key: "Key", Tenant: "Tenant"}, serving{})
+	f.Fuzz(func(t *testing.T, text []byte) {
+		head := "GET / HTTP/1.1\r\nHost: h\r\n" + string(text) + "\r\n"
+		request, err := http.ReadRequest(bufio.NewReader(io.LimitReader(bytes.NewReader([]byte(head)), maxHeaderBytes)))
+		if err != nil {
+			return
+		}
+		keys := request.Header.Values("Key")
+		authorization, refused, ok := h.authorize(request, r)
+		if expected := len(keys) == 1 && keys[0] == valid; ok != expected {
+			t.Fatalf("keys %q: authorized %v", keys, ok)
+		}
+		if !ok {
+			if status := refused.Status(); status != 400 && status != 401 {
+				t.Fatalf("keys %q: status %d", keys, status)
+			}
+			return
+		}
+		forwarded := h.newRequest(request, nil, authorization).Header
+		if tenants := forwarded.Values("Tenant"); len(tenants) != 1 || tenants[0] != "acme" || forwarded.Values("Key") != nil {
+			t.Fatalf("forwarded: %q", forwarded)
+		}
+	})
+}
--- a/entry/routing/allowances.go
+++ b/entry/routing/allowances.go
@@ -27,6 +27,25 @@
 	RetryAfter   clock.Millis
 }
 
+// serveForTenant serves a request of a tenant, within its limit if it has one.
+func (e *Engine) serveForTenant(ctx context.Context, r *route.Route, request Request) Answer {
+	if e.deps.Allowances == nil || !request.Tenant.Limited() {
+		return e.serveAdmitted(ctx, r, request)
+	}
+	if answer, granted := e.takeAllowance(ctx, r, &request); !granted {
+		if e.deps.LogRoutine != nil && e.deps.LogRoutine() {
+			e.deps.Log.Info("request refused", "request", request.ID, "route", r.Name(), "tenant", request.Tenant.Name(),
+				"status", answer.status, "reason", answer.reason, "retryAfter", truncateToTenths(answer.retryAfter))
+		}
+		return answer
+	}
+	answer := e.serveAdmitted(ctx, r, request)
+	if answer.notRun() {
+		e.deps.Allowances.Return(request.Tenant)
+	}
+	return answer
+}
+
 // takeAllowance requests permission for a request of a tenant with a limit, and takes
 // the time that this needs off the deadline. Without permission it returns the refusal
 // and false.
@@ -39,7 +58,7 @@
 	case !grant.Granted && grant.LimitReached:
 		return refusal(http.StatusTooManyRequests, "the tenant's limit of requests is reached", grant.RetryAfter), false
 	case !grant.Granted:
-		return refusal(http.StatusServiceUnavailable, "the tenant's limit of requests cannot be checked", grant.RetryAfter), false
+		return refusal(http.StatusServiceUnavailable, limitUnknownReason, grant.RetryAfter), false
 	}
 	waited := e.deps.Clock.Now() - began
 	if waited <= 0 {
@@ -54,6 +73,25 @@
 	return Answer{}, true
 }
 
+const limitUnknownReason = "the tenant's limit of requests cannot be checked"
+
+// refusedReason returns the reason for metrics for which the request was not run, or "".
+func (a Answer) refusedReason() string {
+	switch {
+	case a.status == http.StatusTooManyRequests && a.reply == nil:
+		return "limit"
+	case !a.notRun():
+		return ""
+	case a.reason == limitUnknownReason:
+		return "limit-unknown"
+	case a.reason == staleReason:
+		return "stale"
+	case a.reason == removedReason:
+		return "key-removed"
+	}
+	return "unavailable"
+}
+
 // notRun reports whether no replica has run the request and none will. The engine
 // replaces replies of replicas with this status.
 func (a Answer) notRun() bool { return a.status == http.StatusServiceUnavailable }
--- a/entry/routing/authorization.go
+++ b/entry/routing/authorization.go
@@ -20,19 +20,20 @@
 // Authorize checks the values of the key header of a request on a route. If the request
 // must not run, it returns false and the answer to give.
 func (e *Engine) Authorize(r *route.Route, keys []string) (Authorization, Answer, bool) {
-	e.mu.Lock()
-	table, stale := e.table, e.configurationStale()
-	e.mu.Unlock()
+	table, stale := e.tableForKeys()
 	switch {
 	case !table.HasTenants():
 		return Authorization{}, Answer{}, true
 	case r.Public():
 		return Authorization{Enforced: true}, Answer{}, true
 	case len(keys) > 1:
+		e.deps.Meter.KeyRefused("repeated")
 		return Authorization{}, refusal(http.StatusBadRequest, "the key is given more than once", 0), false
 	case len(keys) == 0 || keys[0] == "":
+		e.deps.Meter.KeyRefused("missing")
 		return Authorization{}, refusal(http.StatusUnauthorized, "the route requires a key", 0), false
 	case stale:
+		e.deps.Meter.KeyRefused("stale")
 		return Authorization{}, refusal(http.StatusServiceUnavailable, staleReason, staleRetryAfter), false
 	}
 	if hash, ok := table.HashKey(keys[0]); ok {
@@ -40,11 +41,26 @@
 			return Authorization{Enforced: true, Tenant: tenant, KeyHash: hash}, Answer{}, true
 		}
 	}
+	e.deps.Meter.KeyRefused("unknown")
 	return Authorization{}, refusal(http.StatusUnauthorized, "the key is unknown", 0), false
 }
 
+// tableForKeys returns the table in force, and whether the proof is too old for requests
+// with a key, at one moment. It logs when the latter changes.
+func (e *Engine) tableForKeys() (*route.Table, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	stale := e.table.HasTenants() && e.configurationStale()
+	if stale != e.staleLogged {
+		e.staleLogged = stale
+		e.deps.Log.Info("state of requests with a key changed", "refused", stale, "maxProofAge", e.deps.MaxProofAge)
+	}
+	return e.table, stale
+}
+
 const (
-	staleReason = "the configuration may be outdated, so keys cannot be checked"
+	removedReason = "the key was removed"
+	staleReason   = "the configuration may be outdated, so keys cannot be checked"
 	// staleRetryAfter is short, because another daemon may have a newer proof.
 	staleRetryAfter = 100 * clock.Millisecond
 )
@@ -90,7 +106,7 @@
 		return ""
 	}
 	if tenant, ok := table.TenantOfHash(c.request.KeyHash); !ok || tenant.Name() != c.request.Tenant.Name() {
-		return "the key was removed"
+		return removedReason
 	}
 	return ""
 }
--- a/entry/routing/log_test.go
+++ b/entry/routing/log_test.go
@@ -31,6 +31,8 @@
 func (noMeter) AttemptSent(string, string, string)                           {}
 func (noMeter) AttemptEnded(string, string)                                  {}
 func (noMeter) RequestFinished(*route.Route, string, int, int, clock.Millis) {}
+func (noMeter) TenantRequest(string, string)                                 {}
+func (noMeter) KeyRefused(string)                                            {}
 
 // loggedEngine is an engine that records its log lines.
 type loggedEngine struct {
--- a/entry/routing/metrics.go
+++ b/entry/routing/metrics.go
@@ -16,6 +16,10 @@
 	if e.table != nil {
 		metrics["configuration.version"] = int64(e.table.Version())
 		metrics["configuration.routes"] = int64(e.table.RouteCount())
+		metrics["configuration.tenants"] = int64(len(e.table.Tenants()))
+		if e.table.HasTenants() && e.proven {
+			metrics["configuration.proof-age-ms"] = int64(e.deps.SuspendingClock.Now() - e.provenAt)
+		}
 	}
 	for state, count := range e.replicas.CountByState(now) {
 		metrics["replicas."+state] = int64(count)
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -67,6 +67,11 @@
 	AttemptSent(route, service, purpose string)
 	AttemptEnded(service, result string)
 	RequestFinished(r *route.Route, outcome string, status, missing int, latency clock.Millis)
+	// TenantRequest counts a request of a tenant; refused is the reason for which it was
+	// not run, or "". It is called without the lock, like KeyRefused.
+	TenantRequest(tenant, refused string)
+	// KeyRefused counts a request that Authorize has refused.
+	KeyRefused(reason string)
 }
 
 // Engine serves requests. It is safe for concurrent use.
@@ -89,6 +94,7 @@
 	panics        int64        // events whose handling panicked
 	provenAt      clock.Millis // of the latest proof, on the clock that counts suspension
 	proven        bool         // whether there is a proof
+	staleLogged   bool         // the last logged result of configurationStale
 }
 
 // New returns an engine without a configuration. It refuses requests until
@@ -203,19 +209,18 @@
 // Serve runs a request on a route that MatchRoute returned. It returns when there is an
 // answer, or when ctx ends because the caller left.
 func (e *Engine) Serve(ctx context.Context, r *route.Route, request Request) Answer {
-	limited := e.deps.Allowances != nil && request.Tenant != nil && request.Tenant.Limited()
-	if limited {
-		if answer, granted := e.takeAllowance(ctx, r, &request); !granted {
-			return answer
-		}
-	}
-	answer := e.run(ctx, &call{engine: e, request: request, route: r, done: make(chan Answer, 1)})
-	if limited && answer.notRun() {
-		e.deps.Allowances.Return(request.Tenant)
+	if request.Tenant == nil {
+		return e.serveAdmitted(ctx, r, request)
 	}
+	answer := e.serveForTenant(ctx, r, request)
+	e.deps.Meter.TenantRequest(request.Tenant.Name(), answer.refusedReason())
 	return answer
 }
 
+func (e *Engine) serveAdmitted(ctx context.Context, r *route.Route, request Request) Answer {
+	return e.run(ctx, &call{engine: e, request: request, route: r, done: make(chan Answer, 1)})
+}
+
 func (e *Engine) run(ctx context.Context, c *call) Answer {
 	c.start()
 	for {
--- a/entry/routing/trace.go
+++ b/entry/routing/trace.go
@@ -70,6 +70,9 @@
 	if c.delegated {
 		values = append(values, "delegated", true)
 	}
+	if c.request.Tenant != nil {
+		values = append(values, "tenant", c.request.Tenant.Name())
+	}
 	if answer.reason != "" {
 		values = append(values, "reason", answer.reason)
 	}
--- a/entry/telemetry/routes.go
+++ b/entry/telemetry/routes.go
@@ -16,9 +16,10 @@
 
 // Routes holds the metrics of requests on routes: outcomes, statuses and latencies
 // of answers by route and by class, which is the priority of the route, and
-// attempts by service. Routes, classes and services above a limit are counted
-// together as "other". The zero value is ready for use. It is safe for concurrent
-// use.
+// attempts by service. It also counts requests and refusals by tenant, and refusals of
+// keys. Routes, classes and services above a limit are counted together as "other", like
+// all tenants but those with most requests. The zero value is ready for use. It is safe
+// for concurrent use.
 type Routes struct {
 	once     sync.Once
 	registry metrics.Registry
@@ -27,6 +28,7 @@
 	routes   map[string]*answerSeries
 	classes  map[int]*answerSeries
 	services map[string]*serviceSeries
+	tenants  tenantSeries
 }
 
 const (
@@ -193,6 +195,7 @@
 				fmt.Sprintf("%s.p50 %.0f", name, quantiles[0]), fmt.Sprintf("%s.p99 %.0f", name, quantiles[1]))
 		}
 	})
+	lines = t.tenants.appendText(lines)
 	t.mu.Unlock()
 	slices.Sort(lines)
 	_, err := io.WriteString(w, strings.Join(lines, "\n")+"\n")
