routing: an unknown key is invalid only while the configuration is current

Cause: a daemon without contact answers 401 for a key that a newer configuration has added. The simulation of proofs froze daemons and silenced the store nearly all of the time, so it checked few proofs.

Change: unknown keys get 503 once the proof is older than 5 s, also without strict revocation.

--- a/core/mirror/proof_test.go
+++ b/core/mirror/proof_test.go
@@ -145,6 +145,8 @@
 	frozenUntil clock.Millis
 	call        *proofCall
 	poll        *proofCall
+	changed     bool // a reply was applied since the last check
+	provenAt    clock.Millis
 }
 
 // proofCall is a call in progress. Instants are those of the simulation.
@@ -173,6 +175,7 @@
 	storeSilent  clock.Millis   // until when
 	daemons      []*proofDaemon
 	worstAge     clock.Millis
+	proofs       int // new proofs of all daemons
 }
 
 const simulationStep = 5 * clock.Millisecond
@@ -214,11 +217,11 @@
 	if s.random.Float64() < s.changeChance {
 		s.commits = append(s.commits, s.now)
 	}
-	if s.random.Float64() < s.faults*0.02 {
+	if s.random.Float64() < s.faults*0.001 {
 		s.storeSilent = s.now + clock.Millis(s.random.Float64())*8000
 	}
 	for i, d := range s.daemons {
-		if s.random.Float64() < s.faults*0.02 {
+		if s.now >= d.frozenUntil && s.random.Float64() < s.faults*0.001 {
 			d.frozenUntil = s.now + clock.Millis(s.random.Float64())*10_000
 		}
 		if s.now < d.frozenUntil {
@@ -258,6 +261,7 @@
 	switch {
 	case c.answered && !c.lost && s.now >= c.returnsAt:
 		c.apply(local)
+		d.changed = true
 		return nil
 	case s.now >= c.sentAt+c.call.Timeout():
 		switch {
@@ -337,6 +341,14 @@
 		return
 	}
 	s.worstAge = max(s.worstAge, s.now+d.offset-at)
+	if !d.changed {
+		return
+	}
+	d.changed = false
+	if at != d.provenAt {
+		d.provenAt = at
+		s.proofs++
+	}
 	newest := make(map[string]uint64)
 	for n := len(s.commits) - 1; n > 0 && n > len(s.commits)-4000; n-- {
 		key := fmt.Sprint(n % 4)
@@ -356,14 +368,18 @@
 // Guards against a proof of a mirror that lacks a change, whatever is lost, delayed,
 // frozen, listed again or passed on by peers, and for clocks that differ.
 func TestProofHoldsUnderFaults(t *testing.T) {
-	for seed := range uint64(16) {
+	proofs := 0
+	for seed := range uint64(100) {
 		s := newProofSimulation(seed, 0.05, 0.2)
 		require.NotPanics(t, func() {
 			for s.now < 2*clock.Minute {
 				s.step()
 			}
 		}, "seed %d", seed)
+		require.Greater(t, s.proofs, 100, "seed %d: the faults leave too little to check", seed)
+		proofs += s.proofs
 	}
+	t.Logf("%d new proofs checked", proofs)
 }
 
 // Guards against refusals in normal operation: the proof must stay well below its limit,
--- a/entry/frontend/fuzz_test.go
+++ b/entry/frontend/fuzz_test.go
@@ -98,6 +98,7 @@
 		f.Fatal(err)
 	}
 	engine.ApplyUpdates([]routing.StoreUpdate{{Table: table}})
+	engine.RecordProof(clock.Clock{}.Now() + clock.Hour)
 	h := New(engine, HeaderNames{RequestID: "Id", Deadline: "Left", ExpectInstance: "Instance", Key: "Key", Tenant: "Tenant"}, serving{})
 	f.Fuzz(func(t *testing.T, text []byte) {
 		head := "GET / HTTP/1.1\r\nHost: h\r\n" + string(text) + "\r\n"
--- a/entry/routing/authorization.go
+++ b/entry/routing/authorization.go
@@ -20,7 +20,7 @@
 // Authorize checks the values of the key header of a request on a route. If the request
 // must not run, it returns false and the answer to give.
 func (e *Engine) Authorize(r *route.Route, keys []string) (Authorization, Answer, bool) {
-	table, stale := e.tableForKeys()
+	table, stale, current := e.tableForKeys()
 	switch {
 	case !table.HasTenants():
 		return Authorization{}, Answer{}, true
@@ -41,26 +41,38 @@
 			return Authorization{Enforced: true, Tenant: tenant, KeyHash: hash}, Answer{}, true
 		}
 	}
+	if !current {
+		e.deps.Meter.KeyRefused("stale")
+		return Authorization{}, refusal(http.StatusServiceUnavailable, staleReason, staleRetryAfter), false
+	}
 	e.deps.Meter.KeyRefused("unknown")
 	return Authorization{}, refusal(http.StatusUnauthorized, "the key is unknown", 0), false
 }
 
-// tableForKeys returns the table in force, and whether the proof is too old for requests
-// with a key, at one moment. It logs when the latter changes.
-func (e *Engine) tableForKeys() (*route.Table, bool) {
+// tableForKeys returns at one moment the table in force, whether the proof is too old for
+// requests with a key, and whether it is so new that an unknown key is invalid. It logs
+// when the second of these changes.
+func (e *Engine) tableForKeys() (table *route.Table, stale, current bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	stale := e.table.HasTenants() && e.configurationStale()
+	if !e.table.HasTenants() {
+		return e.table, false, true
+	}
+	stale = e.configurationStale()
 	if stale != e.staleLogged {
 		e.staleLogged = stale
 		e.deps.Log.Info("state of requests with a key changed", "refused", stale, "maxProofAge", e.deps.MaxProofAge)
 	}
-	return e.table, stale
+	return e.table, stale, e.proven && e.deps.SuspendingClock.Now()-e.provenAt <= maxUnknownKeyAge
 }
 
 const (
 	removedReason = "the key was removed"
 	staleReason   = "the configuration may be outdated, so keys cannot be checked"
+	// maxUnknownKeyAge is the age of the proof above which an unknown key may be one that a
+	// newer configuration has added. It also applies if revocation is not strict, and is
+	// twice the worst age in normal operation.
+	maxUnknownKeyAge = 5 * clock.Second
 	// staleRetryAfter is short, because another daemon may have a newer proof.
 	staleRetryAfter = 100 * clock.Millisecond
 )
--- a/entry/routing/authorization_test.go
+++ b/entry/routing/authorization_test.go
@@ -152,6 +152,10 @@
 
 	l.deps.MaxProofAge = 0
 	expect(http.StatusOK, "revocation not strict")
+	assert.Equal(t, http.StatusServiceUnavailable, l.serveWithKey("r2", "added").Status(), "a newer configuration may have the key")
+	l.RecordProof(manual.Now())
+	assert.Equal(t, http.StatusUnauthorized, l.serveWithKey("r2", "added").Status())
+	manual.Advance(clock.Hour)
 	l.deps.MaxProofAge = 4750
 	public := singleRoute(true)
 	public.Public = true
