--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -24,6 +24,8 @@
 package dispatch
 
 import (
+	"cmp"
+
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/replica"
 	"github.com/lovagegap/lovagegap/core/route"
@@ -75,7 +77,9 @@
 	Set         *replica.Set
 	Profile     *LatencyProfile // of the route
 	Admission   *Admission      // of the route's services
-	LowPriority bool            // a route of higher priority shares the services
+	LowPriority bool            // requests of a higher priority share the services
+	TenantRank  int             // number of higher priorities that share them; 0 for requests without a tenant
+	RankDraw    float64         // uniform in [0, 1); may raise the request of a tenant to the highest priority
 	Random      float64         // uniform in [0, 1); selects one of the route's splits
 	// DelegateDataCentres lists the data centres with a daemon that accepts
 	// delegations.
@@ -94,6 +98,7 @@
 	profile             *LatencyProfile
 	admission           *Admission
 	lowPriority         bool
+	tenantRank          int // at most maxTenantRank
 	delegateDataCentres []string
 	delegated           bool
 	reportAt            clock.Millis
@@ -111,10 +116,11 @@
 	shards        []shard
 	attempts      []attempt
 	coveredShards int
-	openShards    int  // shards that may still be covered
-	mayHaveRun    bool // an ended attempt may have run the request
-	noRepeats     bool // no attempt is made for a shard that had one
-	lacksReplicas bool // refused because too few services have an available replica
+	openShards    int    // shards that may still be covered
+	mayHaveRun    bool   // an ended attempt may have run the request
+	noRepeats     bool   // no attempt is made for a shard that had one
+	noAttempts    string // reason for which no attempt is made at present, or ""
+	lacksReplicas bool   // refused because too few services have an available replica
 
 	actions  []Action
 	wakeAt   clock.Millis // instant of the last Wake, or never after it
@@ -136,6 +142,7 @@
 	deadline = min(deadline, now+r.Timeout())
 	q := &Request{
 		route: r, profile: res.Profile, admission: res.Admission, lowPriority: res.LowPriority,
+		tenantRank:          min(res.TenantRank, maxTenantRank),
 		delegateDataCentres: res.DelegateDataCentres, reportAt: never,
 		startedAt: now, deadline: deadline, wakeAt: never,
 		returning:       deadline-now < r.Timeout()*returningTimeFraction,
@@ -144,6 +151,9 @@
 		expectedLatency: res.Profile.ExpectedLatency(r.Objective()),
 		serviceTime:     res.Profile.ServiceTime(r.Objective()),
 	}
+	if q.tenantRank > 0 && res.RankDraw > 1-highestRankShare {
+		q.tenantRank, q.lowPriority = 0, false
+	}
 	if res.Delegated {
 		q.delegated = true
 		q.reportAt, q.partialAt = now+res.ReportIn, q.answerBy
@@ -177,6 +187,9 @@
 	if now >= q.answerBy {
 		return q.refuse(now, "too little time left before the deadline")
 	}
+	if q.noAttempts != "" {
+		return q.refuse(now, q.noAttempts)
+	}
 	if !q.servable(now) {
 		q.lacksReplicas = true
 		return q.refuse(now, q.reasonFor("no replica of the service is available",
@@ -240,6 +253,11 @@
 // ForbidRepeats ends retries and hedges: the request crashes the replicas that run it.
 func (q *Request) ForbidRepeats() { q.noRepeats = true }
 
+// ForbidAttempts forbids further attempts for the reason, or allows them again if it is
+// empty. It is called before the method that may make one. A request that no replica has
+// run is then refused.
+func (q *Request) ForbidAttempts(reason string) { q.noAttempts = reason }
+
 // RecordResult records the result of the attempt with the given number. The
 // replica's statistics are updated even if the attempt is abandoned or the
 // request has finished. A second result of the same attempt is ignored.
@@ -324,7 +342,7 @@
 	case q.coveredShards >= required && now >= min(q.partialAt, q.answerBy):
 		return q.answer("the latency objective is close")
 	case q.coveredShards+q.openShards < required:
-		return q.giveUp(now, q.reasonFor("no replica can answer", "too few shards can answer"))
+		return q.giveUp(now, cmp.Or(q.noAttempts, q.reasonFor("no replica can answer", "too few shards can answer")))
 	case now >= q.answerBy:
 		return q.timeOut(now)
 	case q.starved(required):
--- a/entry/routing/delegation.go
+++ b/entry/routing/delegation.go
@@ -129,7 +129,7 @@
 	e.partition.RecordRemoteAttempt()
 	gather := GatherRequest{
 		Request: c.request, Route: c.route.Name(), Services: action.Shards(),
-		Objective: c.route.Objective(), ReportIn: action.ReportIn(), Priority: c.route.Priority(),
+		Objective: c.route.Objective(), ReportIn: action.ReportIn(), Priority: c.request.Tenant.PriorityOn(c.route),
 		TopK: c.route.TopK(), AllowedRegions: c.route.AllowedRegions(),
 	}
 	gather.Request.Deadline = action.At() - now
@@ -168,6 +168,7 @@
 		}
 		c.traceEnd(now, action.Attempt(), result)
 	}
+	c.machine.ForbidAttempts(c.refusedAttempts())
 	c.perform(now, c.machine.HandleDelegationReport(now, dispatch.DelegationReport{
 		Covered: part.Covered, Failed: part.Failed, Shed: part.Shed, HedgeDue: part.HedgeDue, Last: last, NotRun: part.NotRun,
 	}))
