--- a/entry/gateway/configuration.go
+++ b/entry/gateway/configuration.go
@@ -187,8 +187,8 @@
 		RetryBudget: replica.BudgetPolicy{
 			Ratio: p.Repeats.Ratio, Slack: p.Repeats.Slack, Window: clock.Second * clock.Millis(p.Repeats.WindowS),
 		},
-		MaxProofAge:     maxProofAge,
-		GracePeriod:     clock.Second * clock.Millis(p.GraceS),
+		MaxProofAge: maxProofAge,
+		GracePeriod: clock.Second * clock.Millis(p.GraceS),
 		AddressLifetime: min(clock.Second*clock.Millis(p.LifetimeS),
 			clock.Second*clock.Millis(p.GraceS)*maxLifetimeFraction),
 	}
