dispatch: the instant of a partial answer follows from measured delays

Cause: a request over many shards stopped waiting 6 % or 12 ms before its objective, whatever the daemon needs to answer and however far the caller is.

Change: DelayProfile holds the recent delays of the daemon on a route, with decay and a stated prior; Arrival the caller's time before the start. From their 0.98 quantile on, the request answers at the instant with the greatest expected benefit. LatencyProfile estimates the chance of a reply with abandoned exchanges as censored. The deadline of replicas and delegates and the first report of a delegate use the same estimate.

--- a/core/dispatch/delegation.go
+++ b/core/dispatch/delegation.go
@@ -81,16 +81,25 @@
 		s := &q.shards[i]
 		services[n] = s.pool.Service()
 		s.pending++
+		s.recordStart(now + delegationRoundTrip)
 		s.tried = s.pool.InDataCentre(chosen)
 		s.pool.BeginRequest(now, q.serviceTime)
 		s.hedgeAt = now + q.hedgeDelay() + 2*delegationRoundTrip
 	}
 	q.actions = append(q.actions, Action{
 		kind: Delegate, attempt: q.delegation.attempt, shards: services, dataCentre: chosen,
-		at: q.deadline, reportIn: max(minHedgeDelay, q.hedgeDelay()-delegationRoundTrip),
+		at: q.replyBy, reportIn: q.delegateReportIn(now),
 	})
 }
 
+// delegateReportIn returns the time after which a delegate first reports: before a hedge
+// is due here, and so early that its report, delayed as this daemon's own answers are,
+// arrives while the answer may still wait for it.
+func (q *Request) delegateReportIn(now clock.Millis) clock.Millis {
+	latest := q.partialAt - now - q.delays.reserve(minPriorMargin)
+	return max(minHedgeDelay, min(q.hedgeDelay(), latest)-delegationRoundTrip)
+}
+
 // HandleDelegationReport handles a report of the daemon that gathers the delegated
 // shards. A merged answer cannot be split, so it replaces the answers of this
 // daemon's own attempts for the same shards. Reports after the last are ignored.
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -4,15 +4,17 @@
 // A Request is a state machine without I/O. It makes the first attempt at the
 // replica with the lowest expected latency, hedges attempts that are late and
 // retries those that failed. On a route over many shards it waits for every
-// shard until shortly before the latency objective. From then on it answers as
-// soon as the shards that have answered reach the route's minimum coverage. A
+// shard until shortly before the latency objective. From then on, while the shards
+// that have answered reach the route's minimum coverage, it answers at the instant
+// with the greatest expected benefit, which depends on the measured delays of the
+// daemon and the latencies of the replicas. A
 // request that is not idempotent is sent again only after a result that proves
 // that it has not run.
 //
 // # Usage
 //
 //	q := dispatch.New(now, r, deadline, dispatch.Resources{
-//		Set: set, Profile: profile, Admission: admission, Random: random.Float64(),
+//		Set: set, Profile: profile, Delays: delays, Admission: admission, Random: random.Float64(),
 //	})
 //	actions := q.Start(now)
 //	for each action: send, delegate, report, abandon, reset the timer, or finish
@@ -40,18 +42,12 @@
 	// recheckInterval is the time after which a hedge or retry that found no
 	// replica or no budget is tried again.
 	recheckInterval = 8 * clock.Millisecond
-	// objectiveMarginFraction of the latency objective, and at least
-	// minObjectiveMargin, is reserved for returning the answer to the caller.
-	objectiveMarginFraction = 0.06
-	minObjectiveMargin      = 12 * clock.Millisecond
 	// localLatencyFraction of the latency objective is the expected latency up
 	// to which a replica in this data centre is preferred to a faster one
 	// elsewhere.
 	localLatencyFraction = 0.5
-	// maxDeadlineMargin, and at most one part in deadlineMarginDivisor of the
-	// time left, is reserved before the deadline for returning the answer to
-	// the caller.
-	maxDeadlineMargin     = 12 * clock.Millisecond
+	// deadlineMarginDivisor bounds what is reserved before the deadline for returning
+	// the answer to the caller: one part of the time left.
 	deadlineMarginDivisor = 8
 	// lateRetryReserve is the number of attempts that a request past its
 	// objective leaves in the retry budget, for requests still within theirs.
@@ -74,6 +70,8 @@
 type Resources struct {
 	Set         *replica.Set
 	Profile     *LatencyProfile // of the route
+	Delays      *DelayProfile   // of the route; nil if none are measured
+	Arrival     Arrival         // of the request, unless it is delegated
 	Admission   *Admission      // of the route's services
 	LowPriority bool            // a route of higher priority shares the services
 	Random      float64         // uniform in [0, 1); selects one of the route's splits
@@ -92,6 +90,7 @@
 type Request struct {
 	route               *route.Route
 	profile             *LatencyProfile
+	delays              *DelayProfile
 	admission           *Admission
 	lowPriority         bool
 	delegateDataCentres []string
@@ -102,7 +101,10 @@
 	delegation          *delegation // nil if no shard is delegated
 	startedAt           clock.Millis
 	returning           bool         // the caller has tried before, to judge by the time that it has left
-	partialAt           clock.Millis // instant from which a partial answer is given
+	priorDelay          clock.Millis // assumed delay of an answer while none is measured
+	dueAt               clock.Millis // latest instant at which an answer may meet the objective
+	partialAt           clock.Millis // instant from which a partial answer is weighed against waiting
+	replyBy             clock.Millis // instant from which replies are of no use
 	answerBy            clock.Millis // instant from which an answer would miss the deadline
 	deadline            clock.Millis
 	expectedLatency     clock.Millis
@@ -139,15 +141,20 @@
 		delegateDataCentres: res.DelegateDataCentres, reportAt: never,
 		startedAt: now, deadline: deadline, wakeAt: never,
 		returning:       deadline-now < r.Timeout()*returningTimeFraction,
-		partialAt:       now + r.Objective() - max(minObjectiveMargin, r.Objective()*objectiveMarginFraction),
-		answerBy:        deadline - min(maxDeadlineMargin, (deadline-now)/deadlineMarginDivisor),
 		expectedLatency: res.Profile.ExpectedLatency(r.Objective()),
 		serviceTime:     res.Profile.ServiceTime(r.Objective()),
 	}
+	if q.delays = res.Delays; q.delays == nil {
+		q.delays = &DelayProfile{}
+	}
+	q.delays.decay(now)
+	q.scheduleAnswer(deadline-now, res.Arrival)
 	if res.Delegated {
 		q.delegated = true
 		q.reportAt, q.partialAt = now+res.ReportIn, q.answerBy
 		q.serviceTime = 0 // counted by the delegating daemon
+	} else {
+		q.delays.margin = q.Margin()
 	}
 	services := r.Shards()
 	if services == nil {
@@ -168,7 +175,7 @@
 // Start makes the first attempts, or refuses the request if the deadline is too
 // close, too few replicas are available or admission rejects it.
 func (q *Request) Start(now clock.Millis) []Action {
-	q.nextWake = min(q.partialAt, q.answerBy, q.reportAt)
+	q.nextWake = min(q.answerBy, q.reportAt)
 	for i := range q.shards {
 		if !q.delegated {
 			q.shards[i].pool.Budget().RecordRegular(now)
@@ -253,6 +260,9 @@
 	if result == replica.OK {
 		q.profile.Record(now, now-a.startedAt)
 	}
+	if result == replica.Abandoned || result == replica.Silent {
+		q.profile.RecordUnanswered(now - a.startedAt)
+	}
 	q.recordWait(now-a.startedAt, result)
 	if a.abandoned || q.finished {
 		return nil
@@ -294,9 +304,6 @@
 	if now < q.reportAt {
 		q.nextWake = min(q.nextWake, q.reportAt)
 	}
-	if now < q.partialAt {
-		q.nextWake = min(q.nextWake, q.partialAt)
-	}
 	if now < q.answerBy {
 		for i := range q.shards {
 			q.tickShard(now, i)
@@ -318,10 +325,14 @@
 // certain, and otherwise schedules the next Tick.
 func (q *Request) advance(now clock.Millis) []Action {
 	required := q.requiredShards()
+	answerAt := never
+	if q.coveredShards >= required && q.openShards > 0 {
+		answerAt = q.answerAt(now)
+	}
 	switch {
 	case q.openShards == 0 && q.coveredShards >= required:
 		return q.answer("all shards have answered or failed")
-	case q.coveredShards >= required && now >= min(q.partialAt, q.answerBy):
+	case q.coveredShards >= required && now >= min(answerAt, q.answerBy):
 		return q.answer("the latency objective is close")
 	case q.coveredShards+q.openShards < required:
 		return q.giveUp(now, q.reasonFor("no replica can answer", "too few shards can answer"))
@@ -333,6 +344,7 @@
 	if q.delegated {
 		q.queueReport(now)
 	}
+	q.nextWake = min(q.nextWake, answerAt)
 	for i := range q.shards {
 		s := &q.shards[i]
 		switch {
--- a/core/dispatch/latency.go
+++ b/core/dispatch/latency.go
@@ -1,15 +1,8 @@
 package dispatch
 
-import (
-	"math"
-
-	"github.com/lovagegap/lovagegap/core/clock"
-)
+import "github.com/lovagegap/lovagegap/core/clock"
 
 const (
-	latencyBuckets    = 110
-	bucketGrowth      = 1.12 // upper bound of a bucket per its lower bound
-	lowestBucketBound = 0.5 * clock.Millisecond
 	// decayThreshold is the total weight of the samples at which all weights are
 	// halved, so that recent samples count more.
 	decayThreshold = 600
@@ -31,9 +24,10 @@
 // LatencyProfile is a histogram of the recent latencies of the exchanges of one
 // route. The zero value is an empty histogram. It is not safe for concurrent use.
 type LatencyProfile struct {
-	counts        [latencyBuckets]float32
-	weight        float32 // sum of counts
-	samples       int     // number of all samples ever recorded
+	answered      histogram
+	unanswered    histogram // ages at which exchanges were abandoned without an answer
+	survival      [latencyBuckets + 1]float32
+	samples       int // number of all samples ever recorded
 	median        clock.Millis
 	serviceTime   clock.Millis
 	serviceTimeAt clock.Millis // instant of the last update of serviceTime
@@ -42,24 +36,17 @@
 
 // Record adds the latency of a successful exchange.
 func (p *LatencyProfile) Record(now, latency clock.Millis) {
-	bucket := 0
-	if latency > lowestBucketBound {
-		bucket = int(math.Log(float64(latency/lowestBucketBound)) / math.Log(bucketGrowth))
-	}
-	p.counts[min(bucket, latencyBuckets-1)]++
-	p.weight++
+	p.answered.add(latency)
 	p.samples++
-	if p.weight >= decayThreshold {
-		p.weight = 0
-		for i := range p.counts {
-			p.counts[i] /= 2
-			p.weight += p.counts[i]
-		}
+	if p.answered.weight >= decayThreshold {
+		p.answered.scale(0.5)
+		p.unanswered.scale(0.5)
 	}
 	p.sinceRefresh++
 	if p.sinceRefresh >= refreshInterval || p.samples <= minSamples*2 {
-		p.median = p.quantile(0.5)
-		p.updateServiceTime(now, p.quantile(serviceTimeQuantile))
+		p.median = p.answered.quantile(0.5)
+		p.updateServiceTime(now, p.answered.quantile(serviceTimeQuantile))
+		p.updateSurvival()
 		p.sinceRefresh = 0
 	}
 }
@@ -93,15 +80,35 @@
 	return p.median
 }
 
-// quantile returns the latency below which the fraction q of the weight lies.
-func (p *LatencyProfile) quantile(q float32) clock.Millis {
-	left := p.weight * q
-	for i, count := range p.counts {
-		if left <= count && count > 0 {
-			within := float64(left / count)
-			return lowestBucketBound * clock.Millis(math.Pow(bucketGrowth, float64(i)+within))
-		}
-		left -= count
+// RecordUnanswered adds the age at which an exchange was abandoned. Answers that are
+// not waited for never reach the histogram of latencies; without the abandoned
+// exchanges the late ones among them would appear rarer than they are.
+func (p *LatencyProfile) RecordUnanswered(age clock.Millis) { p.unanswered.add(age) }
+
+// updateSurvival estimates the fraction of exchanges without an answer at the lower
+// bound of each bucket by the product-limit (Kaplan-Meier) method: abandoned exchanges
+// count among those at risk up to the age at which they were abandoned.
+func (p *LatencyProfile) updateSurvival() {
+	atRisk := p.answered.weight + p.unanswered.weight
+	p.survival[0] = 1
+	for i, answered := range p.answered.counts {
+		// One more exchange at risk keeps the survival above 0 beyond the latest answer.
+		p.survival[i+1] = p.survival[i] * (1 - answered/(atRisk+1))
+		atRisk = max(0, atRisk-answered-p.unanswered.counts[i])
 	}
-	return lowestBucketBound * clock.Millis(math.Pow(bucketGrowth, latencyBuckets))
+}
+
+// ReplyProbability returns the probability that an exchange without an answer at the
+// given age is answered within the wait. It is 0 while nothing is known.
+func (p *LatencyProfile) ReplyProbability(age, wait clock.Millis) float64 {
+	if p.samples < minSamples || wait <= 0 {
+		return 0
+	}
+	return 1 - float64(p.survivalAt(max(0, age)+wait)/p.survivalAt(max(0, age)))
+}
+
+// survivalAt interpolates the survival between the bounds of the buckets.
+func (p *LatencyProfile) survivalAt(age clock.Millis) float32 {
+	bucket, within := locate(age)
+	return p.survival[bucket] + (p.survival[bucket+1]-p.survival[bucket])*float32(within)
 }
--- a/core/dispatch/shard.go
+++ b/core/dispatch/shard.go
@@ -21,9 +21,11 @@
 	failedReply     int                // last attempt answered with an error of the replica, or -1
 	winner          int                // attempt or delegation that covered the shard, or -1
 	failed          bool
-	reported        bool   // to the daemon that delegated the request
-	starved         bool   // waits for the retry budget
-	withheld        string // reason for which the last hedge that was due was withheld, or ""
+	reported        bool         // to the daemon that delegated the request
+	starved         bool         // waits for the retry budget
+	withheld        string       // reason for which the last hedge that was due was withheld, or ""
+	sentAt          clock.Millis // start of the first pending attempt or the delegation
+	resentAt        clock.Millis // start of the last one if several are pending
 	hedgeAt         clock.Millis
 	retryAt         clock.Millis
 }
@@ -66,15 +68,25 @@
 	s := &q.shards[i]
 	s.tried = append(s.tried, r)
 	s.pending++
+	s.recordStart(now)
 	s.starved = false
 	s.hedgeAt = now + q.hedgeDelay()
 	r.Begin(now, q.serviceTime)
 	q.attempts = append(q.attempts, attempt{shard: i, replica: r, startedAt: now})
 	q.actions = append(q.actions, Action{
-		kind: Send, attempt: len(q.attempts) - 1, shard: i, purpose: purpose, replica: r, at: q.deadline,
+		kind: Send, attempt: len(q.attempts) - 1, shard: i, purpose: purpose, replica: r, at: q.replyBy,
 	})
 }
 
+// recordStart records the start of an attempt that is already counted as pending.
+func (s *shard) recordStart(now clock.Millis) {
+	if s.pending == 1 {
+		s.sentAt = now
+		return
+	}
+	s.resentAt = now
+}
+
 // hedgeDelay returns the time after which an attempt is hedged.
 func (q *Request) hedgeDelay() clock.Millis {
 	return max(minHedgeDelay, q.expectedLatency*hedgeDelayFactor)
