routing, frontend: measure the delays of answers and the caller's path

Cause: the daemon did not know how long a request had waited before the engine saw it, how late its timers are, or when an answer was with the kernel.

Change: connections of callers note the accept and the first byte of each request, and read TCP_INFO once. The engine records the lateness of its timers and, after a flush by the handler, the time from the decision to the last byte. The margin is a gauge by route and a field of the log line.

--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -82,8 +82,14 @@
 		h.reject(w, r, path, http.StatusBadRequest, "request body is incomplete or malformed")
 		return
 	}
-	answer := h.engine.Serve(r.Context(), matched, h.newRequest(r, body))
+	request := h.newRequest(r, body)
+	request.Arrival = arrival(r.Context())
+	answer := h.engine.Serve(r.Context(), matched, request)
 	h.writeAnswer(w, r, answer)
+	// The server would flush the answer only after the handler, out of its sight.
+	if http.NewResponseController(w).Flush() == nil {
+		h.engine.RecordWritten(answer)
+	}
 }
 
 // reject answers a request that is refused before its body has been read to the end. It
--- a/entry/frontend/limits.go
+++ b/entry/frontend/limits.go
@@ -34,6 +34,7 @@
 func NewServer(h *Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerPlaceholder, IdleTimeout: idlePlaceholder, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: withCallerConn,
 	}
 }
 
@@ -54,13 +55,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c, limits: l.limits}, nil
+	return &callerConn{Conn: c, limits: l.limits, beganAt: time.Now()}, nil
 }
 
 // callerConn is a connection of a caller that applies the timeouts in force.
 type callerConn struct {
 	net.Conn
 	limits func() (route.Limits, bool)
+
+	// The server's goroutine of the connection uses the following fields.
+	beganAt   time.Time    // accept, or first byte read of the current request
+	idle      bool         // waits for the first byte of a request
+	requests  int          // requests read
+	roundTrip clock.Millis // 0 if it is not known
 }
 
 // SetReadDeadline sets the deadline. One that stems from a placeholder of the server is
@@ -75,6 +82,7 @@
 	case left > midpoint:
 		t = time.Now().Add(positiveOr(limits.HeaderTimeout(), defaultHeaderTimeout).Duration())
 	case left > idlePlaceholder/2:
+		c.idle = true
 		t = time.Now().Add(positiveOr(limits.IdleTimeout(), defaultIdleTimeout).Duration())
 	}
 	return c.Conn.SetReadDeadline(t)
--- a/entry/routing/call.go
+++ b/entry/routing/call.go
@@ -22,6 +22,9 @@
 	request              Request
 	route                *route.Route
 	startedAt            clock.Millis
+	submittedAt          clock.Millis // before the wait for the lock of the engine
+	timerAt              clock.Millis // instant for which the timer is set
+	decidedAt            clock.Millis // instant of the decision to answer, or 0
 	machine              *dispatch.Request
 	exchanges            []interface{ Abandon() } // by attempt, like replies and traces
 	replies              []*exchange.Reply
@@ -45,6 +48,7 @@
 
 func (c *call) start() {
 	e := c.engine
+	c.submittedAt = e.deps.Clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	defer c.recoverPanic()
@@ -60,9 +64,11 @@
 		return
 	}
 	resources := e.resources(c.route)
+	resources.Arrival = c.request.Arrival
+	resources.Arrival.Waited += now - c.submittedAt
 	switch {
 	case c.delegated:
-		resources.Delegated, resources.ReportIn = true, c.reportIn
+		resources.Delegated, resources.ReportIn, resources.Arrival = true, c.reportIn, dispatch.Arrival{}
 	case e.deps.Delegates != nil && c.route.Shards() != nil:
 		resources.DelegateDataCentres = e.deps.Delegates.DataCentres()
 	}
@@ -164,6 +170,7 @@
 }
 
 func (c *call) setTimer(now, at clock.Millis) {
+	c.timerAt = max(now, at)
 	delay := max(0, at-now).Duration()
 	if c.timer == nil {
 		c.timer = time.AfterFunc(delay, c.tick)
@@ -178,6 +185,9 @@
 	defer e.mu.Unlock()
 	defer c.recoverPanic()
 	now := e.deps.Clock.Now()
+	if !c.finished && now >= c.timerAt { // else it was set again after it had fired
+		e.lateness.Record(now, c.timerAt)
+	}
 	c.perform(now, c.machine.Tick(now))
 }
 
@@ -224,6 +234,10 @@
 // handleOutcome turns the outcome of the state machine into the answer and finishes the call.
 func (c *call) handleOutcome(outcome dispatch.Outcome) {
 	var answer Answer
+	if kind := outcome.Kind(); kind == dispatch.Answered || kind == dispatch.Gathered {
+		// Refusals are short, and would hide the time that answers need.
+		c.decidedAt = c.engine.deps.Clock.Now()
+	}
 	switch outcome.Kind() {
 	case dispatch.Answered:
 		answer = answerFromReply(c.replies[outcome.Attempt()])
@@ -293,6 +307,7 @@
 		c.timer.Stop()
 	}
 	now := e.deps.Clock.Now()
+	answer.route, answer.decidedAt = c.route, c.decidedAt
 	if !c.delegated {
 		e.deps.Meter.RequestFinished(c.route, outcome, answer.status, answer.Missing(), now-c.startedAt)
 	}
--- a/entry/routing/metrics.go
+++ b/entry/routing/metrics.go
@@ -1,5 +1,7 @@
 package routing
 
+const microsecondsPerMilli = 1000
+
 // Metrics returns the current values of the engine's gauges, by metric name.
 func (e *Engine) Metrics() map[string]int64 {
 	e.mu.Lock()
@@ -23,5 +25,10 @@
 	for service, left := range e.replicas.RemainingBudgets(now) {
 		metrics["service."+service+".budget-left"] = int64(left)
 	}
+	for name, delays := range e.delays {
+		if margin := delays.Margin(); margin > 0 { // 0 without a request of a caller
+			metrics["route."+name+".answer-margin-us"] = int64(margin * microsecondsPerMilli)
+		}
+	}
 	return metrics
 }
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -71,6 +71,8 @@
 	replicas          *replica.Set
 	outOfService      map[string]bool
 	profiles          map[string]*dispatch.LatencyProfile
+	delays            map[string]*dispatch.DelayProfile // by route, like profiles
+	lateness          dispatch.TimerLateness
 	admissions        map[string]*dispatch.Admission // by the first service of a route
 	highestPriorities map[string]int                 // of the routes to a service, by service
 	running           map[*call]struct{}
@@ -90,6 +92,7 @@
 		replicas:     replica.NewSet(deps.DataCentre, deps.Random, deps.Budget),
 		outOfService: make(map[string]bool),
 		profiles:     make(map[string]*dispatch.LatencyProfile),
+		delays:       make(map[string]*dispatch.DelayProfile),
 		admissions:   make(map[string]*dispatch.Admission),
 		running:      make(map[*call]struct{}),
 	}
@@ -107,6 +110,7 @@
 	Header   http.Header // without hop-by-hop headers
 	Body     []byte
 	Deadline clock.Millis // time left, or 0 if the caller set no deadline
+	Arrival  dispatch.Arrival
 }
 
 // Answer is the result of a request: the reply of a replica, the merged records
@@ -123,6 +127,8 @@
 	retryAfter  clock.Millis
 	reason      string
 	callerGone  bool
+	route       *route.Route
+	decidedAt   clock.Millis // instant of the decision to answer, or 0 without an answer of replicas
 }
 
 // Status returns the HTTP status code.
@@ -212,6 +218,17 @@
 	}
 }
 
+// RecordWritten records that the last byte of an answer has been given to the kernel.
+func (e *Engine) RecordWritten(answer Answer) {
+	if answer.decidedAt == 0 {
+		return
+	}
+	now := e.deps.Clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.delayProfile(answer.route).Record(now, now-answer.decidedAt, &e.lateness)
+}
+
 // StopAt sets the time at which the daemon exits. Of the requests that start after
 // the call, those that are not expected to end before that time are refused, and
 // the others get it as their latest deadline.
@@ -262,6 +279,16 @@
 	return p
 }
 
+// delayProfile returns the delay profile of a route. The caller holds the lock.
+func (e *Engine) delayProfile(r *route.Route) *dispatch.DelayProfile {
+	p := e.delays[r.Name()]
+	if p == nil {
+		p = &dispatch.DelayProfile{}
+		e.delays[r.Name()] = p
+	}
+	return p
+}
+
 // resources returns the resources that the requests of a route share. The caller
 // holds the lock.
 func (e *Engine) resources(r *route.Route) dispatch.Resources {
@@ -272,7 +299,7 @@
 		e.admissions[service] = admission
 	}
 	return dispatch.Resources{
-		Set: e.replicas, Profile: e.profile(r), Admission: admission,
+		Set: e.replicas, Profile: e.profile(r), Delays: e.delayProfile(r), Admission: admission,
 		LowPriority: r.Priority() > e.highestPriorities[service],
 		Random:      e.deps.Random.Float64(),
 	}
--- a/entry/routing/trace.go
+++ b/entry/routing/trace.go
@@ -80,6 +80,9 @@
 		values = append(values, "missing", shards)
 	}
 	if c.machine != nil {
+		if len(c.route.Shards()) > 0 && !c.delegated {
+			values = append(values, "margin", truncateToTenths(c.machine.Margin()))
+		}
 		if withheld := c.machine.WithheldHedges(); len(withheld) > 0 {
 			values = append(values, "withheldHedges", withheld[:min(len(withheld), maxLoggedExchanges)])
 		}
--- a/entry/socket/socket.go
+++ b/entry/socket/socket.go
@@ -1,9 +1,11 @@
-// Package socket checks the state of TCP sockets without reading from them.
+// Package socket checks the state and the round trip of TCP sockets without reading from
+// them.
 //
 // # Usage
 //
 //	probe := socket.NewProbe(raw)   // once for each connection
 //	if probe() == socket.Open { … }
+//	trip := socket.RoundTrip(conn)  // 0 if it is not known
 package socket
 
 import "time"
--- a/entry/socket/socket_linux.go
+++ b/entry/socket/socket_linux.go
@@ -1,7 +1,9 @@
 package socket
 
 import (
+	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -47,3 +49,32 @@
 		return state
 	}
 }
+
+// RoundTrip returns the round trip time of a TCP connection as the kernel has measured
+// it, or 0 if the kernel refuses to tell or has none. It makes one system call.
+func RoundTrip(c net.Conn) time.Duration {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var micros uint32
+	_ = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			return
+		}
+		micros = info.Rtt
+		if info.Min_rtt > 0 && info.Min_rtt != noMinRoundTrip {
+			micros = min(micros, info.Min_rtt)
+		}
+	})
+	return time.Duration(micros) * time.Microsecond
+}
+
+// noMinRoundTrip is what the kernel reports as the shortest round trip before the first
+// measurement.
+const noMinRoundTrip = 1<<32 - 1
