dispatch: connections opened in advance do not use up the caller's time

Cause: the time from the accept counted as the caller's even where a caller opens connections before it has a request; such requests would have been answered without waiting for their shards.

Change: the silence between accept and first byte is reported by itself. Above 100 ms neither it nor the handshake counts.

--- a/core/dispatch/margin.go
+++ b/core/dispatch/margin.go
@@ -128,9 +128,10 @@
 // Arrival describes how the request of a caller reached the daemon. The caller's time
 // begins when it opens its connection, or sends the first byte on an open one.
 type Arrival struct {
-	// Waited is the time from the accept of a new connection, or from the first byte
-	// read of a request on an open one, to the start of the request.
+	// Waited is the time from the first byte read to the start of the request.
 	Waited clock.Millis
+	// Silent is the time from the accept of a new connection to the first byte read.
+	Silent clock.Millis
 	// RoundTrip is that of the connection, or 0 if it is not known.
 	RoundTrip clock.Millis
 	// NewConnection means that the request is the first one of its connection.
@@ -145,14 +146,18 @@
 	answerTrips         = 0.5
 )
 
+// maxSilence is the longest time from the accept to the first byte read that counts as
+// the caller's. A longer one is no delay of a daemon that still answers in time: the
+// caller has opened the connection before it had a request.
+const maxSilence = 100 * clock.Millisecond
+
 // callerTime returns the part of the caller's time that passes before the start of the
 // request and on the way of the answer.
 func (a Arrival) callerTime() clock.Millis {
-	trips := clock.Millis(openConnectionTrips)
-	if a.NewConnection {
-		trips = newConnectionTrips
+	if a.NewConnection && a.Silent <= maxSilence {
+		return a.Silent + a.Waited + (newConnectionTrips+answerTrips)*a.RoundTrip
 	}
-	return a.Waited + (trips+answerTrips)*a.RoundTrip
+	return a.Waited + (openConnectionTrips+answerTrips)*a.RoundTrip
 }
 
 // scheduleAnswer sets the instants that depend on the daemon's delays and the caller's
--- a/entry/frontend/arrival.go
+++ b/entry/frontend/arrival.go
@@ -28,14 +28,15 @@
 		return dispatch.Arrival{}
 	}
 	c.requests++
+	found := dispatch.Arrival{Waited: clock.FromDuration(time.Since(c.beganAt))}
 	if c.requests == 1 {
 		// The handshake has just measured the round trip. Later estimates of the kernel
 		// contain the time for which the caller delays its acknowledgements.
 		c.roundTrip = clock.FromDuration(socket.RoundTrip(c.Conn))
+		found.NewConnection, found.Silent = true, clock.FromDuration(c.beganAt.Sub(c.acceptedAt))
 	}
-	return dispatch.Arrival{
-		Waited: clock.FromDuration(time.Since(c.beganAt)), RoundTrip: c.roundTrip, NewConnection: c.requests == 1,
-	}
+	found.RoundTrip = c.roundTrip
+	return found
 }
 
 // Read reads from the connection and notes when a request begins.
--- a/entry/frontend/limits.go
+++ b/entry/frontend/limits.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c, limits: l.limits, beganAt: time.Now()}, nil
+	return &callerConn{Conn: c, limits: l.limits, acceptedAt: time.Now(), idle: true}, nil
 }
 
 // callerConn is a connection of a caller that applies the timeouts in force.
@@ -64,10 +64,11 @@
 	limits func() (route.Limits, bool)
 
 	// The server's goroutine of the connection uses the following fields.
-	beganAt   time.Time    // accept, or first byte read of the current request
-	idle      bool         // waits for the first byte of a request
-	requests  int          // requests read
-	roundTrip clock.Millis // 0 if it is not known
+	acceptedAt time.Time
+	idle       bool         // waits for the first byte of a request
+	beganAt    time.Time    // first byte read of the current request
+	requests   int          // requests read
+	roundTrip  clock.Millis // 0 if it is not known
 }
 
 // SetReadDeadline sets the deadline. One that stems from a placeholder of the server is
