dispatch: comments of two margin tests

Cause: the comments stated another time and another number of requests than the tests.

Change: the comments.

Result: go test ./core/dispatch passes.

--- a/core/dispatch/margin_test.go
+++ b/core/dispatch/margin_test.go
@@ -195,7 +195,7 @@
 	return newMarginRun(sc, policy).serve(requests).means()
 }
 
-// Prints the table of docs/design/answer-margin.md, and guards against a choice that loses
+// Prints the table of docs/design/answer-margin.md, which has more requests, and guards against a choice that loses
 // more than two hundredths of the benefit to the best of the simpler ones.
 func TestAnswerPolicies(t *testing.T) {
 	distant, silent, hidden := largeDaemon, smallDaemon, smallDaemon
@@ -285,7 +285,7 @@
 }
 
 // Guards against a margin that does not follow a burst of work, and against one that
-// keeps the delays of the burst: half a minute later it is near the earlier one.
+// keeps the delays of the burst: a minute later it is near the earlier one.
 func TestMarginFollowsBurstOfDelays(t *testing.T) {
 	r := newMarginRun(largeDaemon, nil).serve(300)
 	calm := r.margin
