--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -84,6 +84,8 @@
 	replicas      *replica.Set
 	outOfService  map[string]bool
 	profiles      map[string]*dispatch.LatencyProfile
+	delays        map[string]*dispatch.DelayProfile // by route, like profiles
+	lateness      dispatch.TimerLateness
 	admissions    map[string]*dispatch.Admission // by the first service of a route
 	priorities    map[string][]int               // of the requests to a service, as route.Table.Priorities returns them
 	running       map[*call]struct{}
@@ -106,6 +108,7 @@
 		replicas:     replica.NewSet(deps.DataCentre, deps.Random, deps.Budget),
 		outOfService: make(map[string]bool),
 		profiles:     make(map[string]*dispatch.LatencyProfile),
+		delays:       make(map[string]*dispatch.DelayProfile),
 		admissions:   make(map[string]*dispatch.Admission),
 		running:      make(map[*call]struct{}),
 	}
@@ -125,6 +128,7 @@
 	Deadline clock.Millis  // time left, or 0 if the caller set no deadline
 	Tenant   *route.Tenant // of the caller's key, or nil
 	KeyHash  route.KeyHash // of the caller's key, if Tenant is set and no daemon delegated the request
+	Arrival  dispatch.Arrival
 }
 
 // Answer is the result of a request: the reply of a replica, the merged records
@@ -141,6 +145,8 @@
 	retryAfter  clock.Millis
 	reason      string
 	callerGone  bool
+	route       *route.Route
+	decidedAt   clock.Millis // instant of the decision to answer, or 0 without an answer of replicas
 }
 
 // Status returns the HTTP status code.
@@ -239,6 +245,17 @@
 	}
 }
 
+// RecordWritten records that the last byte of an answer has been given to the kernel.
+func (e *Engine) RecordWritten(answer Answer) {
+	if answer.decidedAt == 0 {
+		return
+	}
+	now := e.deps.Clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.delayProfile(answer.route).Record(now, now-answer.decidedAt, &e.lateness)
+}
+
 // StopAt sets the time at which the daemon exits. Of the requests that start after
 // the call, those that are not expected to end before that time are refused, and
 // the others get it as their latest deadline.
@@ -289,6 +306,16 @@
 	return p
 }
 
+// delayProfile returns the delay profile of a route. The caller holds the lock.
+func (e *Engine) delayProfile(r *route.Route) *dispatch.DelayProfile {
+	p := e.delays[r.Name()]
+	if p == nil {
+		p = &dispatch.DelayProfile{}
+		e.delays[r.Name()] = p
+	}
+	return p
+}
+
 // resources returns the resources that the requests of a tenant, or nil, on a route
 // share. The caller holds the lock.
 func (e *Engine) resources(r *route.Route, tenant *route.Tenant) dispatch.Resources {
@@ -299,7 +326,7 @@
 		e.admissions[service] = admission
 	}
 	resources := dispatch.Resources{
-		Set: e.replicas, Profile: e.profile(r), Admission: admission, Random: e.deps.Random.Float64(),
+		Set: e.replicas, Profile: e.profile(r), Delays: e.delayProfile(r), Admission: admission, Random: e.deps.Random.Float64(),
 	}
 	rank, _ := slices.BinarySearch(e.priorities[service], tenant.PriorityOn(r))
 	resources.LowPriority = rank > 0
