allowance: state machines of fleet-wide limits of tenants

Cause: a tenant's limit holds over all daemons, but a tenant sends a given daemon one request in 20 s on average, so that a fixed division would refuse most of them.

Change: core/allowance.

--- /dev/null
+++ b/core/allowance/ledger.go
@@ -0,0 +1,188 @@
+package allowance
+
+import (
+	"maps"
+	"math"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+)
+
+const (
+	// maxPause is the longest time between two calls of Tick after which the daemon
+	// can't have been replaced as the owner: members are suspected after 2 s of silence.
+	maxPause = 1500 * clock.Millisecond
+	// startDelay is the time after the start of the process, and after a pause, in which
+	// nothing is granted, so that a process that restarts over and over does not grant
+	// the tokens of a new owner each time.
+	startDelay = clock.Second
+	// accountRetention is the time after which an unused account is dropped. Its bucket
+	// is then computed from the time of ownership.
+	accountRetention = 5 * clock.Minute
+	// minRetryShare bounds the share of the rate from which RetryAfter is computed.
+	minRetryShare = 0.01
+	// extraTokensFraction is the fraction of the burst that must be left for tokens to be
+	// granted beyond those for requests that wait, since such tokens may expire unused.
+	extraTokensFraction = 0.5
+)
+
+// Reply is the answer of an owner to a Call.
+type Reply struct {
+	// Granted is the number of tokens.
+	Granted int
+	// Unavailable means that the daemon can't grant tokens of the tenant, as it is not
+	// the owner or became it only now. It does not mean that the limit is reached.
+	Unavailable bool
+	// NextIn is the time until the next token, if fewer than needed were granted.
+	NextIn clock.Millis
+	// RetryAfter is the time until a token that is not promised to an earlier request.
+	RetryAfter clock.Millis
+}
+
+// account is the token bucket of a tenant.
+type account struct {
+	limit  Limit
+	tokens float64
+	at     clock.Millis // up to which tokens have been added; in the future in a takeover
+	usedAt clock.Millis
+	// promised is the instant up to which the refill has been named as RetryAfter.
+	promised clock.Millis
+}
+
+// Ledger grants the tokens of the tenants that this daemon owns. A Ledger is not safe
+// for concurrent use.
+type Ledger struct {
+	policy    Policy
+	view      *View
+	accounts  map[string]*account
+	resumedAt clock.Millis // start of the process or end of the last pause
+	tickedAt  clock.Millis
+	nextSweep clock.Millis
+	stats     LedgerStats
+}
+
+// LedgerStats counts tokens and calls since the start.
+type LedgerStats struct {
+	Calls, Requested, Granted, Refused, Unavailable, Pauses int64
+}
+
+// NewLedger returns a ledger without accounts.
+func NewLedger(policy Policy, view *View, now clock.Millis) *Ledger {
+	return &Ledger{policy: policy, view: view, accounts: make(map[string]*account), resumedAt: now, tickedAt: now}
+}
+
+// Stats returns the counts since the start.
+func (l *Ledger) Stats() LedgerStats { return l.stats }
+
+// Accounts returns the number of tenants with an account.
+func (l *Ledger) Accounts() int { return len(l.accounts) }
+
+// Tick must be called several times a second. A longer interval is taken as a pause of
+// the process or the machine, after which the ledger acts as that of a new owner.
+func (l *Ledger) Tick(now clock.Millis) {
+	if now-l.tickedAt > maxPause {
+		l.resumedAt = now
+		l.view.Restart(now)
+		l.stats.Pauses++
+	}
+	l.tickedAt = max(l.tickedAt, now)
+	l.view.Tick(now)
+	if now >= l.nextSweep {
+		l.nextSweep = now + clock.Minute
+		maps.DeleteFunc(l.accounts, func(_ string, a *account) bool { return now-a.usedAt > accountRetention })
+	}
+}
+
+// Grant answers a call: at most needed tokens for requests that wait and extra ones for
+// expected requests. Unused is the number of earlier tokens that expired unused and
+// go back to the bucket.
+func (l *Ledger) Grant(now clock.Millis, tenant string, limit Limit, needed, extra, unused int) Reply {
+	l.Tick(now)
+	l.stats.Calls++
+	l.stats.Requested += int64(needed + extra)
+	a := l.openAccount(now, tenant, limit)
+	if a == nil {
+		l.stats.Unavailable++
+		return Reply{Unavailable: true}
+	}
+	capacity := l.capacity(tenant, limit)
+	l.refill(now, a, limit, capacity)
+	a.tokens = max(a.tokens, min(capacity, a.tokens+float64(unused)))
+	if capacity < 1 || limit.rate <= 0 {
+		l.stats.Unavailable++
+		return Reply{Unavailable: true}
+	}
+	granted := min(needed, int(a.tokens))
+	spare := int(a.tokens - float64(granted) - limit.burst*extraTokensFraction)
+	granted += max(0, min(extra, spare))
+	a.tokens -= float64(granted)
+	l.stats.Granted += int64(granted)
+	switch {
+	case granted >= needed:
+		return Reply{Granted: granted}
+	case granted == 0 && now < a.at:
+		l.stats.Unavailable++
+		return Reply{Unavailable: true}
+	}
+	l.stats.Refused += int64(needed - granted)
+	perToken := clock.Millis(float64(clock.Second) / (limit.rate * max(l.view.Share(), minRetryShare)))
+	next := max(now, a.at) + clock.Millis(1-a.tokens)*perToken
+	// Each refused request is told a later token, so that retries don't arrive together.
+	// A token more than a window ahead is not promised.
+	a.promised = max(next, min(a.promised+perToken, now+l.policy.Window))
+	return Reply{Granted: granted, NextIn: next - now, RetryAfter: min(a.promised-now, l.policy.Window)}
+}
+
+// openAccount returns the account of a tenant, or nil if this daemon may not grant its
+// tokens.
+func (l *Ledger) openAccount(now clock.Millis, tenant string, limit Limit) *account {
+	if now < l.resumedAt+startDelay {
+		return nil
+	}
+	since, owned := l.view.ownedSince(tenant)
+	if !owned {
+		var until clock.Millis
+		since, until, owned = l.view.ownedUntil(tenant)
+		if !owned || now-until > handoverGrace {
+			return nil
+		}
+	}
+	start := l.start(tenant, limit)
+	a := l.accounts[tenant]
+	switch {
+	case a == nil:
+		a = &account{limit: limit, tokens: start, at: since + takeoverDelay}
+		l.accounts[tenant] = a
+	case a.usedAt < since: // another daemon may have owned the tenant in between
+		a.tokens = min(a.tokens, start)
+		a.at = since + takeoverDelay
+	}
+	a.usedAt = now
+	return a
+}
+
+// start returns the tokens of a new owner: its share, or one if its bucket can hold one.
+func (l *Ledger) start(tenant string, limit Limit) float64 {
+	start := l.policy.start(limit)
+	return max(start*l.view.Share(), min(start, l.capacity(tenant, limit), 1))
+}
+
+// capacity returns the size of the bucket: the burst times the share. Where that is less
+// than one token, as many parts of a divided fleet hold one token as a new owner may.
+func (l *Ledger) capacity(tenant string, limit Limit) float64 {
+	capacity := limit.burst * l.view.Share()
+	if capacity < 1 && l.view.seesLeading(tenant, int(math.Max(1, l.policy.Slack*startSlackPart))) {
+		return 1
+	}
+	return capacity
+}
+
+// refill adds the tokens since the last refill at the limit of that time, and applies
+// the new one.
+func (l *Ledger) refill(now clock.Millis, a *account, limit Limit, capacity float64) {
+	if now > a.at {
+		a.tokens += a.limit.rate * float64((l.view.weightAt(now)-l.view.weightAt(a.at))/clock.Second)
+		a.at = now
+	}
+	a.limit = limit
+	a.tokens = min(a.tokens, capacity)
+}
