gateway: limits of tenants that hold over the whole fleet

Cause: the routing engine asks for permission for the requests of tenants with a limit, and nothing implements it.

A new owner starts with the share of daemons that it sees, so that small tenants are served after a restart of the fleet.

Result: go test of entry/gateway, entry/routing and core/allowance pass.

--- a/core/allowance/ledger.go
+++ b/core/allowance/ledger.go
@@ -105,7 +105,7 @@
 		return Reply{Unavailable: true}
 	}
 	capacity := l.capacity(tenant, limit)
-	l.refill(now, a, limit, capacity)
+	l.refill(now, a, limit, max(capacity, l.start(tenant, limit)))
 	a.tokens = max(a.tokens, min(capacity, a.tokens+float64(unused)))
 	if capacity < 1 || limit.rate <= 0 {
 		l.stats.Unavailable++
@@ -163,7 +163,7 @@
 // start returns the tokens of a new owner: its share, or one if its bucket can hold one.
 func (l *Ledger) start(tenant string, limit Limit) float64 {
 	start := l.policy.start(limit)
-	return max(start*l.view.Share(), min(start, l.capacity(tenant, limit), 1))
+	return max(start*l.view.seen(), min(start, l.capacity(tenant, limit), 1))
 }
 
 // capacity returns the size of the bucket: the burst times the share. Where that is less
--- a/core/allowance/view.go
+++ b/core/allowance/view.go
@@ -166,6 +166,9 @@
 // Share returns the share of the rate that an owner may grant, 0 to 1.
 func (v *View) Share() float64 { return v.refills[len(v.refills)-1].share }
 
+// seen returns the daemons alive as a fraction of those known.
+func (v *View) seen() float64 { return v.epochs[len(v.epochs)-1].seen }
+
 // Known returns the number of daemons among which limits are divided.
 func (v *View) Known() int { return v.known.Len() }
 
--- a/core/allowance/wallet.go
+++ b/core/allowance/wallet.go
@@ -292,6 +292,13 @@
 	return w.wait(now, p, d)
 }
 
+// Abandon ends a pending request whose caller has left.
+func (w *Wallet) Abandon(d Decision) {
+	if p := w.purses[d.tenant]; p != nil && d.call == nil {
+		p.waiting = max(0, p.waiting-1)
+	}
+}
+
 // Return takes back the token of a request that provably did not run. A token that is
 // too old to be granted again is dropped.
 func (w *Wallet) Return(now clock.Millis, tenant string) {
--- a/entry/gateway/configuration.go
+++ b/entry/gateway/configuration.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lovagegap/lovagegap/core/allowance"
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/replica"
 )
@@ -177,6 +178,9 @@
 		RetryBudget: replica.BudgetPolicy{
 			Ratio: p.Repeats.Ratio, Slack: p.Repeats.Slack, Window: clock.Second * clock.Millis(p.Repeats.WindowS),
 		},
+		Allowances: allowance.Policy{
+			Window: clock.Second * clock.Millis(p.Tenants.WindowS), Overshoot: p.Tenants.Overshoot, Slack: p.Tenants.Slack,
+		},
 		GracePeriod:     clock.Second * clock.Millis(p.GraceS),
 		AddressLifetime: clock.Second * clock.Millis(p.LifetimeS),
 	}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/lovagegap/lovagegap/core/allowance"
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/fleet"
 	"github.com/lovagegap/lovagegap/core/mirror"
@@ -48,8 +49,9 @@
 	Seeds           []string // IP:port of peers to contact first
 	Key             []byte   // shared by the daemons of a deployment; authenticates their requests
 	RetryBudget     replica.BudgetPolicy
-	GracePeriod     clock.Millis // from the stop signal to the exit of the process
-	AddressLifetime clock.Millis // for which callers may use the addresses they got
+	Allowances      allowance.Policy // of tenants; the zero value stands for the default
+	GracePeriod     clock.Millis     // from the stop signal to the exit of the process
+	AddressLifetime clock.Millis     // for which callers may use the addresses they got
 	ReplicaHeaders  exchange.HeaderNames
 	CallerHeaders   frontend.HeaderNames
 	StorePrefix     string // of the keys of the store that are mirrored
@@ -108,6 +110,7 @@
 	engine       *routing.Engine
 	tracker      *membership.Tracker
 	delegates    *delegates
+	allowances   *allowances
 	hub          *peers.Hub
 	mirrorSyncer *mirrorSyncer
 	compressor   compressor
@@ -135,16 +138,17 @@
 	self := fleet.NewMember(fleet.ID(config.PeerAddress), config.CallerAddress, config.DataCentre, config.Region,
 		uint64(time.Now().UnixMilli()))
 	g.delegates = newDelegates(dependencies.Clock, self, config.Key, deriveGenerator(dependencies.Random))
+	g.allowances = newAllowances(dependencies.Clock, config, deriveGenerator(dependencies.Random))
 	g.engine = routing.New(routing.Dependencies{
 		Clock: dependencies.Clock, Log: g.log.WithName("routing"), DataCentre: config.DataCentre,
 		Names: config.ReplicaHeaders, Random: deriveGenerator(dependencies.Random), Budget: config.RetryBudget,
 		Meter: dependencies.Meter, LogRoutine: dependencies.LogRoutineDecision, PublishCrash: g.publishCrash,
-		PublishQuarantine: g.publishQuarantine, Delegates: g.delegates,
+		PublishQuarantine: g.publishQuarantine, Delegates: g.delegates, Allowances: g.allowances,
 	})
 	g.tracker = membership.New(membership.Dependencies{
 		Clock: dependencies.Clock, Log: g.log.WithName("roster"), Self: self, Random: deriveGenerator(dependencies.Random),
 		DaemonCountChanged: g.engine.SetDaemonCount, SourcesChanged: func(peers []string) { g.mirrorSyncer.setSources(peers) },
-		RegionsChanged: g.engine.SetRegions, ServingChanged: g.delegates.setServing, RecordAccepted: g.handleRecord,
+		RegionsChanged: g.engine.SetRegions, ServingChanged: g.setServing, RecordAccepted: g.handleRecord,
 	})
 	g.hub = peers.New(peers.Control, peers.NewIdentity(config.PeerAddress, self.Incarnation()),
 		[][]byte{config.Key}, g.tracker, g.log.WithName("peers"))
@@ -167,6 +171,12 @@
 	return rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
 }
 
+// setServing passes on the members that serve callers.
+func (g *Gateway) setServing(serving []fleet.Member) {
+	g.delegates.setServing(serving)
+	g.allowances.setServing(serving)
+}
+
 // Ready reports whether the daemon serves callers: it has a configuration, and no
 // planned stop has begun.
 func (g *Gateway) Ready() bool { return g.ready.Load() && !g.leaving.Load() }
@@ -229,6 +239,7 @@
 	})
 	g.tasks.Go(func() { g.tracker.Run(background) })
 	g.tasks.Go(func() { g.mirrorSyncer.run(background) })
+	g.tasks.Go(func() { g.allowances.run(background) })
 	select {
 	case <-g.configured:
 	case <-time.After(maxConfigurationWait):
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -26,6 +26,9 @@
 	for name, count := range calls {
 		set("store.calls."+name, count)
 	}
+	for name, value := range g.allowances.metrics() {
+		set("allowances."+name, value)
+	}
 	set("links.dropped", int64(g.hub.Dropped()))
 	set("links.rejected", int64(g.hub.Rejected()))
 }
