--- a/entry/gateway/allowances.go
+++ b/entry/gateway/allowances.go
@@ -105,6 +105,8 @@
 	ended  map[*allowance.Call]chan struct{} // closed at the end of the call
 }
 
+// newAllowances returns allowances without members. The clock must count the time in which
+// the machine is suspended.
 func newAllowances(c clock.Clock, config Config, random *rand.Rand) *allowances {
 	policy := config.Allowances
 	if policy.Window <= 0 {
--- a/entry/gateway/configuration.go
+++ b/entry/gateway/configuration.go
@@ -10,6 +10,7 @@
 
 	"github.com/lovagegap/lovagegap/core/allowance"
 	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/mirror"
 	"github.com/lovagegap/lovagegap/core/replica"
 )
 
@@ -172,6 +173,10 @@
 // Config returns the part of the process configuration that the gateway uses. The
 // names of headers and the prefixes of the store are left empty.
 func (p *ProcessConfig) Config() Config {
+	maxProofAge := clock.Millis(0)
+	if p.Tenants.StrictRevocation {
+		maxProofAge = mirror.MaxProofAge(clock.Millis(p.Tenants.RevokeMs))
+	}
 	return Config{
 		Name: p.Name, DataCentre: p.DataCentre, Region: p.Region, CallerAddress: p.Callers, PeerAddress: p.Peers,
 		Seeds: p.Seeds, Key: []byte(p.Key),
@@ -181,6 +186,7 @@
 		Allowances: allowance.Policy{
 			Window: clock.Second * clock.Millis(p.Tenants.WindowS), Overshoot: p.Tenants.Overshoot, Slack: p.Tenants.Slack,
 		},
+		MaxProofAge:     maxProofAge,
 		GracePeriod:     clock.Second * clock.Millis(p.GraceS),
 		AddressLifetime: clock.Second * clock.Millis(p.LifetimeS),
 	}
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -17,6 +17,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 
 	"github.com/go-logr/logr"
@@ -32,13 +33,18 @@
 
 // Dependencies holds the collaborators and fixed settings of an engine.
 type Dependencies struct {
-	Clock      clock.Clock
-	Log        logr.Logger
-	DataCentre string
-	Names      exchange.HeaderNames
-	Random     *rand.Rand
-	Budget     replica.BudgetPolicy
-	Meter      Meter
+	Clock clock.Clock
+	// SuspendingClock also counts the time during which the machine is suspended.
+	SuspendingClock clock.Clock
+	// MaxProofAge is the age of the proof of RecordProof above which requests with a key
+	// are refused; 0 means no limit.
+	MaxProofAge clock.Millis
+	Log         logr.Logger
+	DataCentre  string
+	Names       exchange.HeaderNames
+	Random      *rand.Rand
+	Budget      replica.BudgetPolicy
+	Meter       Meter
 	// LogRoutine reports whether to log a request that was served in time; nil
 	// logs none of them.
 	LogRoutine func() bool
@@ -61,6 +67,11 @@
 	AttemptSent(route, service, purpose string)
 	AttemptEnded(service, result string)
 	RequestFinished(r *route.Route, outcome string, status, missing int, latency clock.Millis)
+	// TenantRequest counts a request of a tenant; refused is the reason for which it was
+	// not run, or "". It is called without the lock, like KeyRefused.
+	TenantRequest(tenant, refused string)
+	// KeyRefused counts a request that Authorize has refused.
+	KeyRefused(reason string)
 }
 
 // Engine serves requests. It is safe for concurrent use.
@@ -68,19 +79,22 @@
 	deps   Dependencies
 	client *exchange.Client
 
-	mu                sync.Mutex
-	table             *route.Table
-	replicas          *replica.Set
-	outOfService      map[string]bool
-	profiles          map[string]*dispatch.LatencyProfile
-	admissions        map[string]*dispatch.Admission // by the first service of a route
-	highestPriorities map[string]int                 // of the routes to a service, by service
-	running           map[*call]struct{}
-	partition         dispatch.PartitionDetector
-	crashes           crashTracker
-	stopAt            clock.Millis // when the daemon exits, or 0 if no stop is planned
-	storeViewTime     clock.Millis // time up to which changes of the store are known
-	panics            int64        // events whose handling panicked
+	mu            sync.Mutex
+	table         *route.Table
+	replicas      *replica.Set
+	outOfService  map[string]bool
+	profiles      map[string]*dispatch.LatencyProfile
+	admissions    map[string]*dispatch.Admission // by the first service of a route
+	priorities    map[string][]int               // of the requests to a service, as route.Table.Priorities returns them
+	running       map[*call]struct{}
+	partition     dispatch.PartitionDetector
+	crashes       crashTracker
+	stopAt        clock.Millis // when the daemon exits, or 0 if no stop is planned
+	storeViewTime clock.Millis // time up to which changes of the store are known
+	panics        int64        // events whose handling panicked
+	provenAt      clock.Millis // of the latest proof, on the clock that counts suspension
+	proven        bool         // whether there is a proof
+	staleLogged   bool         // the last logged result of configurationStale
 }
 
 // New returns an engine without a configuration. It refuses requests until
@@ -195,19 +209,18 @@
 // Serve runs a request on a route that MatchRoute returned. It returns when there is an
 // answer, or when ctx ends because the caller left.
 func (e *Engine) Serve(ctx context.Context, r *route.Route, request Request) Answer {
-	limited := e.deps.Allowances != nil && request.Tenant != nil && request.Tenant.Limited()
-	if limited {
-		if answer, granted := e.takeAllowance(ctx, r, &request); !granted {
-			return answer
-		}
-	}
-	answer := e.run(ctx, &call{engine: e, request: request, route: r, done: make(chan Answer, 1)})
-	if limited && answer.notRun() {
-		e.deps.Allowances.Return(request.Tenant)
+	if request.Tenant == nil {
+		return e.serveAdmitted(ctx, r, request)
 	}
+	answer := e.serveForTenant(ctx, r, request)
+	e.deps.Meter.TenantRequest(request.Tenant.Name(), answer.refusedReason())
 	return answer
 }
 
+func (e *Engine) serveAdmitted(ctx context.Context, r *route.Route, request Request) Answer {
+	return e.run(ctx, &call{engine: e, request: request, route: r, done: make(chan Answer, 1)})
+}
+
 func (e *Engine) run(ctx context.Context, c *call) Answer {
 	c.start()
 	for {
@@ -276,20 +289,24 @@
 	return p
 }
 
-// resources returns the resources that the requests of a route share. The caller
-// holds the lock.
-func (e *Engine) resources(r *route.Route) dispatch.Resources {
+// resources returns the resources that the requests of a tenant, or nil, on a route
+// share. The caller holds the lock.
+func (e *Engine) resources(r *route.Route, tenant *route.Tenant) dispatch.Resources {
 	service := r.Services()[0]
 	admission := e.admissions[service]
 	if admission == nil {
 		admission = &dispatch.Admission{}
 		e.admissions[service] = admission
 	}
-	return dispatch.Resources{
-		Set: e.replicas, Profile: e.profile(r), Admission: admission,
-		LowPriority: r.Priority() > e.highestPriorities[service],
-		Random:      e.deps.Random.Float64(),
+	resources := dispatch.Resources{
+		Set: e.replicas, Profile: e.profile(r), Admission: admission, Random: e.deps.Random.Float64(),
+	}
+	rank, _ := slices.BinarySearch(e.priorities[service], tenant.PriorityOn(r))
+	resources.LowPriority = rank > 0
+	if tenant != nil {
+		resources.TenantRank, resources.RankDraw = rank, e.deps.Random.Float64()
 	}
+	return resources
 }
 
 // mergeParts merges the parts into one answer with the greatest records of the route's
