--- a/core/allowance/wallet.go
+++ b/core/allowance/wallet.go
@@ -182,7 +182,7 @@
 	if now < p.refusedUntil {
 		// The owner has named its refill to others meanwhile.
 		spread := clock.Millis(w.random.Float64()) * p.retryAfter
-		return w.refused(d, p.refusedUntil-now+spread)
+		return w.refused(d, min(p.refusedUntil-now+spread, w.policy.Window))
 	}
 	return w.wait(now, p, d)
 }
