allowance: handover at planned stops, and a higher start value of new owners

Cause: after a planned stop, and after the start of all daemons, a tenant got only a few requests until the buckets of its new owner refilled.

Change: tokens are requested from an owner that leaves for the time of a handover. A new owner starts with 0.35 instead of 0.2 of the slack, and at once after the start of its process; the reserve is smaller, so that the parts still sum to the permitted excess for each limit.

--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -60,9 +60,9 @@
 // burst). docs/design/allowances.md derives the bound from it.
 const (
 	lifetimeOvershootPart = 0.4  // tokens that were requested before the window
-	startSlackPart        = 0.2  // tokens of one new owner
+	startSlackPart        = 0.35 // tokens of one new owner
 	reserveSlackPart      = 0.25 // requests without an answer of the owner, in a window
-	reserveOvershootPart  = 0.25
+	reserveOvershootPart  = 0.1
 	// minLifetime covers the round trip of a call where Overshoot is zero.
 	minLifetime = 20 * clock.Millisecond
 )
--- a/core/allowance/ledger.go
+++ b/core/allowance/ledger.go
@@ -11,10 +11,9 @@
 	// maxPause is the longest time between two calls of Tick after which the daemon
 	// can't have been replaced as the owner: members are suspected after 2 s of silence.
 	maxPause = 1500 * clock.Millisecond
-	// startDelay is the time after the start of the process, and after a pause, in which
-	// nothing is granted, so that a process that restarts over and over does not grant
-	// the tokens of a new owner each time.
-	startDelay = clock.Second
+	// resumeDelay is the time after a pause in which nothing is granted: calls that arrived
+	// during the pause are late, and the members may have changed.
+	resumeDelay = clock.Second
 	// accountRetention is the time after which an unused account is dropped. Its bucket
 	// is then computed from the time of ownership.
 	accountRetention = 5 * clock.Minute
@@ -54,7 +53,7 @@
 	policy    Policy
 	view      *View
 	accounts  map[string]*account
-	resumedAt clock.Millis // start of the process or end of the last pause
+	resumedAt clock.Millis // end of the last pause; before the start if there was none
 	tickedAt  clock.Millis
 	nextSweep clock.Millis
 	stats     LedgerStats
@@ -67,7 +66,7 @@
 
 // NewLedger returns a ledger without accounts.
 func NewLedger(policy Policy, view *View, now clock.Millis) *Ledger {
-	return &Ledger{policy: policy, view: view, accounts: make(map[string]*account), resumedAt: now, tickedAt: now}
+	return &Ledger{policy: policy, view: view, accounts: make(map[string]*account), resumedAt: now - resumeDelay, tickedAt: now}
 }
 
 // Stats returns the counts since the start.
@@ -135,7 +134,7 @@
 // openAccount returns the account of a tenant, or nil if this daemon may not grant its
 // tokens.
 func (l *Ledger) openAccount(now clock.Millis, tenant string, limit Limit) *account {
-	if now < l.resumedAt+startDelay {
+	if now < l.resumedAt+resumeDelay {
 		return nil
 	}
 	since, owned := l.view.ownedSince(tenant)
--- a/core/allowance/view.go
+++ b/core/allowance/view.go
@@ -60,6 +60,7 @@
 type View struct {
 	self     string
 	alive    map[string]bool
+	leaving  map[string]bool         // still answer, but serve no new callers
 	lastSeen map[string]clock.Millis // of all known daemons; of those alive, when they became so
 	known    quota.Table
 	epochs   []epoch  // in order of time, never empty
@@ -93,6 +94,15 @@
 	v.update(now)
 }
 
+// SetLeaving sets the daemons that are about to stop. Tokens of the tenants that they
+// owned are requested from them for the time of a handover.
+func (v *View) SetLeaving(members []string) {
+	v.leaving = make(map[string]bool, len(members))
+	for _, member := range members {
+		v.leaving[member] = true
+	}
+}
+
 // Tick updates the share and drops daemons that have not been alive for a long time.
 func (v *View) Tick(now clock.Millis) {
 	v.updateShare(now)
@@ -197,7 +207,7 @@
 		if v.epochs[i].since-previous.since < takeoverDelay {
 			continue
 		}
-		if before := previous.owners.First(tenant); v.alive[before] {
+		if before := previous.owners.First(tenant); v.alive[before] || v.leaving[before] {
 			return before
 		}
 		break
--- a/entry/gateway/allowances.go
+++ b/entry/gateway/allowances.go
@@ -157,6 +157,13 @@
 	a.view.SetAlive(a.clock.Now(), members)
 }
 
+// setLeaving sets the members that are about to stop.
+func (a *allowances) setLeaving(members []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.view.SetLeaving(members)
+}
+
 // Take requests permission for one request of a tenant.
 func (a *allowances) Take(ctx context.Context, tenant *route.Tenant) routing.Grant {
 	a.mu.Lock()
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -157,7 +157,8 @@
 	g.tracker = membership.New(membership.Dependencies{
 		Clock: dependencies.Clock, Log: g.log.WithName("roster"), Self: self, Random: deriveGenerator(dependencies.Random),
 		DaemonCountChanged: g.engine.SetDaemonCount, SourcesChanged: func(peers []string) { g.mirrorSyncer.setSources(peers) },
-		RegionsChanged: g.engine.SetRegions, ServingChanged: g.setServing, RecordAccepted: g.handleRecord,
+		RegionsChanged: g.engine.SetRegions, ServingChanged: g.setServing,
+		LeavingChanged: g.allowances.setLeaving, RecordAccepted: g.handleRecord,
 	})
 	g.hub = peers.New(peers.Control, peers.NewIdentity(config.PeerAddress, self.Incarnation()),
 		[][]byte{config.Key}, g.tracker, g.log.WithName("peers"))
--- a/entry/membership/membership.go
+++ b/entry/membership/membership.go
@@ -58,6 +58,9 @@
 	RegionsChanged func(regions map[string]string)
 	// ServingChanged gets the members that serve callers. It must not keep the slice.
 	ServingChanged func(members []fleet.Member)
+	// LeavingChanged gets the ids of the members that are about to stop, before
+	// ServingChanged is called; nil ignores them.
+	LeavingChanged func(members []string)
 	// RecordAccepted gets a record of another subsystem that a peer has published.
 	RecordAccepted func(record fleet.Record)
 }
@@ -188,6 +191,7 @@
 	members := t.membership.Members()
 	t.updateRegions(members)
 	t.serving = t.serving[:0]
+	var leaving []string
 	for _, m := range members {
 		switch {
 		case m.Alive() && m.CallerAddress() != "":
@@ -195,6 +199,12 @@
 		case m.State() == fleet.Leaving, m.State() == fleet.Left:
 			delete(t.lastServed, m.CallerAddress())
 		}
+		if m.State() == fleet.Leaving {
+			leaving = append(leaving, string(m.ID()))
+		}
+	}
+	if t.deps.LeavingChanged != nil {
+		t.deps.LeavingChanged(leaving)
 	}
 	t.directory.SetMembers(t.serving)
 	t.deps.ServingChanged(t.serving)
