replica: selection restricted to versions during a release

Cause: the replica entry's version was dropped, so that traffic could not be moved between the versions of a service. Change: Entry.Version; VersionRule of a pool (old, split, target only) with an expiry and a bound on the requests that this daemon sends to an unproven version; each request draws its version once per service; hedges and retries of a request at an unproven version go to the old ones.

--- a/core/dispatch/shard.go
+++ b/core/dispatch/shard.go
@@ -13,13 +13,16 @@
 	tried           []*replica.Replica // excluded from the next pick
 	shedBy          []*replica.Replica // replicas that shed an attempt, the last one at the end
 	allowed         []*replica.Replica // for further attempts; nil for all
-	raisedLimit     int                // raises the route's limit of attempts if greater
-	reached         int                // attempts that reached a replica of the service
-	shed            int                // attempts that the replica shed
-	connectFailures int                // attempts that reached no replica of the service
-	pending         int                // attempts and delegations without a result
-	failedReply     int                // last attempt answered with an error of the replica, or -1
-	winner          int                // attempt or delegation that covered the shard, or -1
+	version         replica.VersionChoice
+	drawn           bool // whether version is set
+	counted         bool // in the traffic of a release
+	raisedLimit     int  // raises the route's limit of attempts if greater
+	reached         int  // attempts that reached a replica of the service
+	shed            int  // attempts that the replica shed
+	connectFailures int  // attempts that reached no replica of the service
+	pending         int  // attempts and delegations without a result
+	failedReply     int  // last attempt answered with an error of the replica, or -1
+	winner          int  // attempt or delegation that covered the shard, or -1
 	failed          bool
 	reported        bool   // to the daemon that delegated the request
 	starved         bool   // waits for the retry budget
@@ -37,6 +40,12 @@
 	criteria := replica.NewCriteria(q.expectedLatency, s.tried).
 		PreferLocalWithin(q.route.Objective() * localLatencyFraction).
 		InRegions(q.route.AllowedRegions())
+	if s.pool.HasRelease() {
+		if !s.drawn {
+			s.version, s.drawn = s.pool.DrawVersion(now), true
+		}
+		criteria = criteria.OfVersion(s.version)
+	}
 	if !q.route.Idempotent() {
 		criteria = criteria.NonIdempotent()
 	}
@@ -67,6 +76,10 @@
 	s.tried = append(s.tried, r)
 	s.pending++
 	s.starved = false
+	if !s.counted {
+		s.counted = true
+		s.pool.RecordDraw()
+	}
 	s.hedgeAt = now + q.hedgeDelay()
 	r.Begin(now, q.serviceTime)
 	q.attempts = append(q.attempts, attempt{shard: i, replica: r, startedAt: now})
--- a/core/replica/pick.go
+++ b/core/replica/pick.go
@@ -41,6 +41,7 @@
 	regions              []string   // nil or empty for all
 	localOnly            bool
 	nonIdempotent        bool
+	version              VersionChoice
 }
 
 // NewCriteria returns the criteria for a request with an expected latency. The
@@ -84,6 +85,12 @@
 	return len(c.regions) == 0 || (r.region != "" && slices.Contains(c.regions, r.region))
 }
 
+// OfVersion sets the version that was drawn for the request.
+func (c Criteria) OfVersion(choice VersionChoice) Criteria {
+	c.version = choice
+	return c
+}
+
 // NonIdempotent gives slowness and failures more weight, for a request that
 // cannot be retried.
 func (c Criteria) NonIdempotent() Criteria {
@@ -95,14 +102,34 @@
 // which estimates the time until it answers. A replica that is draining, held or in
 // connection backoff is returned only if there is no other one. Pick returns
 // ErrNoneUsable, or ErrBusy if all usable replicas are at a limit. The caller
-// records the exchange with Replica.Begin.
+// records the exchange with Replica.Begin. During a release it returns a replica of the
+// drawn version, or of an old one if no replica of the target version is usable.
 func (p *Pool) Pick(now clock.Millis, criteria Criteria) (*Replica, error) {
+	if p.versions == nil {
+		r, _, err := p.pick(now, &criteria, anyVersion)
+		return r, err
+	}
+	first, fallback := p.versionFilters(now, &criteria)
+	r, lastResort, err := p.pick(now, &criteria, first)
+	if first == fallback || (err == nil && !lastResort) {
+		return r, err
+	}
+	if other, otherIsLast, otherErr := p.pick(now, &criteria, fallback); otherErr == nil && (err != nil || !otherIsLast) {
+		return other, nil
+	}
+	return r, err
+}
+
+// pick is like Pick for the versions that pass the filter. It also reports whether the
+// replica is one that is picked only as a last resort.
+func (p *Pool) pick(now clock.Millis, criteria *Criteria, filter versionFilter) (r *Replica, isLastResort bool, err error) {
 	var best [distanceCount]candidate
 	var lastResort candidate
 	atLimit := false
 	for _, r := range p.replicas {
 		if r.replaced() || slices.Contains(criteria.tried, r) ||
-			slices.Contains(p.set.outOfService, r.entry.DataCentre()) || !criteria.allows(r) {
+			slices.Contains(p.set.outOfService, r.entry.DataCentre()) || !criteria.allows(r) ||
+			(filter != anyVersion && !p.allowsVersion(r, filter)) {
 			continue
 		}
 		if !r.hasCapacity(now) {
@@ -134,13 +161,13 @@
 	}
 	switch {
 	case chosen.replica != nil:
-		return chosen.replica, nil
+		return chosen.replica, false, nil
 	case lastResort.replica != nil:
-		return lastResort.replica, nil
+		return lastResort.replica, true, nil
 	case atLimit:
-		return nil, ErrBusy
+		return nil, false, ErrBusy
 	default:
-		return nil, ErrNoneUsable
+		return nil, false, ErrNoneUsable
 	}
 }
 
@@ -265,7 +292,7 @@
 	wait := clock.Second // the list of replicas is read again by then
 	for _, r := range p.replicas {
 		switch {
-		case r.replaced() || r.draining() || slices.Contains(p.set.outOfService, r.entry.DataCentre()):
+		case r.replaced() || r.draining() || slices.Contains(p.set.outOfService, r.entry.DataCentre()) || !p.mayUse(now, r):
 		case now < r.retryAt:
 			wait = min(wait, r.retryAt-now)
 		case r.Held(now):
@@ -290,7 +317,7 @@
 }
 
 // score estimates the time until the replica answers, with penalties and jitter.
-func (r *Replica) score(now clock.Millis, criteria Criteria) clock.Millis {
+func (r *Replica) score(now clock.Millis, criteria *Criteria) clock.Millis {
 	latency := criteria.expected * clock.Millis(r.slowness(now))
 	pending := float64(len(r.pending))
 	slots := float64(r.entry.Slots())
--- a/core/replica/pool.go
+++ b/core/replica/pool.go
@@ -129,7 +129,7 @@
 // Changes that Upsert returns, as the log shows them.
 const (
 	ChangeListed = "listed" // the replica was not known
-	// changeRestarted means that the incarnation, service or address has changed;
+	// changeRestarted means that the incarnation, version, service or address has changed;
 	// the evidence about the previous run is discarded.
 	changeRestarted = "restarted"
 	changeDraining  = "draining"
@@ -140,7 +140,7 @@
 // the change for the log, such as ChangeListed, or "" for none.
 func (s *Set) Upsert(now clock.Millis, e Entry) (change string) {
 	r := s.replicas[e.ID()]
-	if r != nil && (r.entry.spec.Incarnation != e.spec.Incarnation ||
+	if r != nil && (r.entry.spec.Incarnation != e.spec.Incarnation || r.entry.Version() != e.Version() ||
 		r.entry.Service() != e.Service() || r.entry.Address() != e.Address()) {
 		s.Remove(e.ID())
 		r, change = nil, changeRestarted
@@ -227,6 +227,9 @@
 	}
 	s.assignAddress(address)
 	r.pool.replicas = withoutReplica(r.pool.replicas, r)
+	if r.pool.versions != nil && len(r.pending) > 0 {
+		r.pool.removed = append(r.pool.removed, r)
+	}
 	return true
 }
 
@@ -351,8 +354,10 @@
 	set             *Set
 	service         string
 	replicas        []*Replica
-	connectionLimit int     // of a replica for the whole fleet; 0 for none
-	warmUpRate      float64 // requests per second of the fleet to a cold replica; 0 for no limit
+	versions        *versionTraffic // nil without a release
+	removed         []*Replica      // no longer listed, with unanswered requests, while there is a release
+	connectionLimit int             // of a replica for the whole fleet; 0 for none
+	warmUpRate      float64         // requests per second of the fleet to a cold replica; 0 for no limit
 	budget          quota.WindowBudget
 	work            clock.Millis // service time of this daemon's unfinished requests
 	unfinished      int          // their number
@@ -477,6 +482,11 @@
 
 // usable reports whether the replica may be picked, apart from its limits.
 func (r *Replica) usable(now clock.Millis) bool {
+	return r.available(now) && r.pool.mayUse(now, r)
+}
+
+// available reports whether the replica is usable if its version is.
+func (r *Replica) available(now clock.Millis) bool {
 	return !r.replaced() && !r.draining() && now >= r.peerLeavingUntil && !r.Held(now) && now >= r.retryAt &&
 		!slices.Contains(r.pool.set.outOfService, r.entry.DataCentre())
 }
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -46,6 +46,7 @@
 	Draining    bool
 	ColdFor     clock.Millis // time left of its cold start
 	Incarnation int64        // differs between two runs of a replica with the same id
+	Version     string       // of its software; "" if the platform names none
 }
 
 // Entry is a replica as the platform lists it.
@@ -76,6 +77,9 @@
 // same id.
 func (e Entry) Incarnation() int64 { return e.spec.Incarnation }
 
+// Version returns the version of the replica's software.
+func (e Entry) Version() string { return e.spec.Version }
+
 // Draining reports whether the replica is about to shut down.
 func (e Entry) Draining() bool { return e.spec.Draining }
 
@@ -239,6 +243,9 @@
 func (r *Replica) Begin(now, serviceTime clock.Millis) {
 	r.pending = append(r.pending, exchange{startedAt: now, serviceTime: serviceTime})
 	r.pool.BeginRequest(now, serviceTime)
+	if r.IsTarget() {
+		r.pool.versions.exposed++
+	}
 	r.hold.recordSend(now)
 	if r.Cold(now) && r.pool.warmUpRate > 0 {
 		r.nextColdRequestAt = now + r.pool.coldInterval()
