release: judge and state machine of the release of a service

Cause: nothing moves a service's traffic to a new version, judges it or takes it back. Change: core/release. Judge is a cumulative sum of log-likelihood ratios of failures and late answers, old against new in the same windows and data centre, per route and without each replica. Release holds order, status, words and reports; one daemon decides, and writes the status by compare-and-swap. State machine tests pass: completion, rollback, exposure, 9 faults of the decider with a good and a bad version.

--- /dev/null
+++ b/core/release/decider.go
@@ -0,0 +1,408 @@
+package release
+
+import (
+	"fmt"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+)
+
+// The time of a release is divided into the trial, the ramp with the drain, and a margin
+// before the end of the ordered duration. The trial is as long as possible: a version
+// that becomes bad late is found at a small share.
+const (
+	marginFraction = 0.08
+	minMargin      = 1500 * clock.Millisecond
+	maxMargin      = 8 * clock.Second
+	finishFraction = 0.3
+	minFinish      = 5 * clock.Second
+	maxFinish      = 40 * clock.Second
+	// drainAfter is the fraction of the finish after which the drain begins.
+	drainAfter = 0.75
+	// minTrialFraction of the duration is left to the trial of a short release.
+	minTrialFraction = 0.3
+
+	trialShare = 0.5 // of the exposure share
+	firstShare = 0.2 // of the exposure share, in firstTime
+	firstTime  = 2 * clock.Second
+	// wantedAttempts is the number of attempts at the new version that a service with
+	// little traffic gets in the trial, if the slack of the exposure bound allows it.
+	wantedAttempts = 60
+	// leastAttempts is the number of attempts at the new version without which the ramp
+	// does not begin before the fraction leastFinish of the finish is left.
+	leastAttempts = 20
+	leastFinish   = 0.6
+	maxTrialShare = 0.5
+
+	// unresolved is the suspicion from which the share does not grow. At the end of the
+	// time it suffices to reject the version.
+	unresolved = 0.5
+	// silentTime is the time without a report after which a daemon no longer delays the
+	// completion.
+	silentTime = 3 * clock.Second
+	// reportMaxAge is the age up to which a report shows that a daemon has drained.
+	reportMaxAge = 1500 * clock.Millisecond
+)
+
+// rampShares are the shares of the ramp, with the fraction of the finish from which each
+// applies.
+var rampShares = [...]struct{ from, share float64 }{{0, 0.15}, {0.15, 0.35}, {0.3, 0.65}, {0.45, 1}}
+
+// decision is the state of a decider.
+type decision struct {
+	decidingSince clock.Millis // 0 if this daemon does not decide
+	judge         Judge
+	windowAt      clock.Millis
+	phase         Phase
+	phaseAt       clock.Millis
+	share         float64
+	sequence      uint64
+	spokenAt      clock.Millis
+	pending       *Status // the status that is to be written
+	inFlight      bool    // a write or read is in progress
+	uncertain     bool    // a write had no reply; the status must be read
+	retryAt       clock.Millis
+	verdict       string // for logs
+}
+
+// stop ends deciding, for example because the order was removed.
+func (d *decision) stop() { *d = decision{} }
+
+// Local is what a daemon observes itself.
+type Local struct {
+	DataCentre  string
+	Draws       uint64
+	Exposed     uint64
+	OldInFlight int
+	Targets     int
+	Cells       []Cell
+	// StoreAge is the age of the daemon's view of the store.
+	StoreAge  clock.Millis
+	TimeOfDay int64 // Unix ms
+}
+
+// ActionKind is the kind of an Action.
+type ActionKind uint8
+
+// Kinds of actions.
+const (
+	// PublishReport distributes Report to all daemons.
+	PublishReport ActionKind = iota
+	// PublishWord distributes Word.
+	PublishWord
+	// WriteStatus writes Status if the status has still the revision Expect and the
+	// order the revision OrderRevision. The adapter calls HandleWrite once.
+	WriteStatus
+	// ReadStatus reads the status. The adapter calls HandleRead once.
+	ReadStatus
+	// Log writes a log line.
+	Log
+)
+
+// Action is an instruction to the adapter.
+type Action struct {
+	Kind          ActionKind
+	Report        Report
+	Word          Word
+	Status        Status
+	Expect        uint64
+	OrderRevision uint64
+	Message       string
+	Values        []any
+}
+
+// schedule returns the instants at which the ramp begins and at which the release must be
+// complete, and the time for ramp and drain.
+func (r *Release) schedule() (rampAt, dueAt, finish clock.Millis) {
+	d := r.order.Duration
+	margin := min(max(d*marginFraction, minMargin), maxMargin, d/4)
+	finish = min(max(d*finishFraction, minFinish), maxFinish, (d-margin)*(1-minTrialFraction))
+	dueAt = r.startedAt + d - margin
+	return dueAt - finish, dueAt, finish
+}
+
+// Tick returns what is due. It is called every 100 ms or so while the release is active.
+func (r *Release) Tick(now clock.Millis, local Local) []Action {
+	if !r.Active() {
+		r.decision.stop()
+		return nil
+	}
+	var actions []Action
+	phase, revision := r.phaseInForce(now)
+	report := Report{
+		Target: r.target, DataCentre: local.DataCentre, Revision: revision, Phase: phase, Draws: local.Draws, Exposed: local.Exposed,
+		OldInFlight: local.OldInFlight, Targets: local.Targets, Cells: local.Cells,
+	}
+	if now >= r.reportAt+r.interval() {
+		r.reportAt = now
+		actions = append(actions, Action{Kind: PublishReport, Report: report})
+	}
+	r.ReceiveReport(now, r.self, report)
+	if !r.isDecider() {
+		r.decision.stop()
+		return actions
+	}
+	return append(actions, r.decide(now, local)...)
+}
+
+func (r *Release) decide(now clock.Millis, local Local) []Action {
+	d := &r.decision
+	if d.decidingSince == 0 {
+		d.decidingSince, d.windowAt = now, now
+		for _, held := range r.reports { // a new judge needs all the evidence
+			clear(held.counted)
+		}
+	}
+	if now < d.decidingSince+settleTime || local.StoreAge > maxStoreAge {
+		return nil
+	}
+	var actions []Action
+	if r.status.Target != r.target || r.status.State != Running || r.status.Decider != r.self {
+		// The write makes sure that no earlier decider can still change the status.
+		d.want(Status{
+			State: Running, Target: r.target, Excluded: r.excluded(r.target), Decider: r.self,
+			StartedAt: local.TimeOfDay - int64(now-r.startedAt),
+		})
+		return append(actions, r.write(now)...)
+	}
+	if d.phaseAt == 0 {
+		d.phaseAt, d.phase = now, Trial
+		if r.word.Target == r.target { // of an earlier decider
+			d.phase, d.share = r.word.Phase, r.word.Share
+		}
+		if r.rejected {
+			d.phase, d.verdict = Rejected, "rejected by the previous decider"
+		}
+		actions = append(actions, r.logPhase("release decider starts"))
+	}
+	if now >= d.windowAt+r.interval() {
+		d.windowAt = now
+		d.judge.Add(r.takeWindow())
+	}
+	if d.phase != Rejected {
+		actions = append(actions, r.advance(now)...)
+	}
+	if d.phase == Rejected {
+		d.want(r.terminal(RolledBack))
+	}
+	if d.phase == Drain && r.drained(now) {
+		d.want(r.terminal(Completed))
+	}
+	if now >= d.spokenAt+r.interval() || r.word.Phase != d.phase || r.word.Revision != r.status.Revision {
+		d.spokenAt = now
+		d.sequence++
+		word := Word{
+			Target: r.target, Revision: r.status.Revision, Sequence: d.sequence, Phase: d.phase, Share: d.share,
+			ElapsedMs: float64(now - r.startedAt), Daemons: len(r.members),
+		}
+		r.ReceiveWord(now, word, 0)
+		actions = append(actions, Action{Kind: PublishWord, Word: word})
+	}
+	return append(actions, r.write(now)...)
+}
+
+func (r *Release) terminal(state State) Status {
+	status := r.status
+	status.State = state
+	return status
+}
+
+// advance changes phase and share as the evidence and the time require.
+func (r *Release) advance(now clock.Millis) []Action {
+	d := &r.decision
+	suspicion := d.judge.Suspicion()
+	rampAt, dueAt, finish := r.schedule()
+	switch {
+	case suspicion.Bad():
+		return r.reject(now, "bad: "+suspicion.String())
+	case now >= dueAt && suspicion.Share() >= unresolved && d.phase != Drain:
+		return r.reject(now, "doubtful at the end of the time: "+suspicion.String())
+	case now >= r.startedAt+r.order.Duration && d.phase == Trial:
+		return r.reject(now, "no evidence: no replica of the version was usable")
+	case d.phase == Trial && (now < rampAt || d.judge.Attempts() == 0 || suspicion.Share() >= unresolved ||
+		(d.judge.Attempts() < leastAttempts && now < dueAt-finish*leastFinish)):
+		d.share = r.trialShare(now, max(now, rampAt))
+		return nil
+	case d.phase == Trial:
+		d.phase, d.phaseAt = Ramp, now
+		d.verdict = fmt.Sprintf("good by %d attempts", d.judge.Attempts())
+		d.share = rampShares[0].share
+		return []Action{r.logPhase("release found good")}
+	case d.phase == Ramp:
+		return r.ramp(now, rampAt, dueAt, finish, suspicion)
+	}
+	return nil
+}
+
+// ramp raises the share, unless there is doubt about the version, and begins the drain.
+func (r *Release) ramp(now, rampAt, dueAt, finish clock.Millis, suspicion Suspicion) []Action {
+	d := &r.decision
+	// A ramp that began late takes the time that is left.
+	begin := max(rampAt, d.phaseAt)
+	length := max(minFinish/2, min(finish, dueAt-begin))
+	progress := float64((now - begin) / length)
+	share := d.share
+	for _, step := range rampShares {
+		if progress >= step.from {
+			share = max(share, step.share)
+		}
+	}
+	if share > d.share && suspicion.Share() >= unresolved {
+		return nil
+	}
+	d.share = max(d.share, share)
+	if d.share >= 1 && progress >= drainAfter && r.targetsUsable(now) && suspicion.Share() < unresolved {
+		d.phase, d.phaseAt = Drain, now
+		return []Action{r.logPhase("release drains the old versions")}
+	}
+	return nil
+}
+
+func (r *Release) reject(now clock.Millis, reason string) []Action {
+	d := &r.decision
+	d.phase, d.phaseAt, d.share, d.verdict = Rejected, now, 0, reason
+	return []Action{r.logPhase("release rejected")}
+}
+
+// trialShare returns the share in the trial: a fixed part of the exposure share, and more
+// for a service with little traffic, whose exposure the slack bounds.
+func (r *Release) trialShare(now, rampAt clock.Millis) float64 {
+	elapsed := now - r.startedAt
+	if elapsed < firstTime && !r.inherited {
+		return firstShare * r.settings.ExposureShare
+	}
+	share := trialShare * r.settings.ExposureShare
+	draws := uint64(0)
+	for _, held := range r.reports {
+		draws += held.report.Draws
+	}
+	if expected := float64(draws) / float64(max(elapsed, 1)) * float64(rampAt-r.startedAt); draws > 0 {
+		share = max(share, min(maxTrialShare, min(wantedAttempts, r.settings.ExposureSlack)*usableBound/expected))
+	} else {
+		share = maxTrialShare
+	}
+	return share
+}
+
+// takeWindow returns the evidence that has been reported since the last window.
+func (r *Release) takeWindow() Window {
+	w := make(Window)
+	for _, held := range r.reports {
+		for _, cell := range held.report.Cells {
+			before := held.counted[cell.CellKey]
+			if fresh := cell.Counts.since(before); fresh.Attempts > 0 || len(fresh.Latency) > 0 {
+				w.add(held.report.DataCentre, Cell{CellKey: cell.CellKey, Counts: fresh})
+				var counted Counts
+				counted.add(cell.Counts)
+				held.counted[cell.CellKey] = counted
+			}
+		}
+	}
+	return w
+}
+
+// targetsUsable reports whether the daemons have usable replicas of the new version.
+func (r *Release) targetsUsable(now clock.Millis) bool {
+	for _, held := range r.reports {
+		if now-held.at < reportMaxAge && held.report.Targets == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// drained reports whether no daemon has a request in flight at an old version, nor will
+// send one. A daemon that is silent for long does not count: it is dead, or no longer
+// obeys the word.
+func (r *Release) drained(now clock.Millis) bool {
+	for _, member := range r.members {
+		held := r.reports[member]
+		last := r.decision.phaseAt
+		if held != nil {
+			last = max(last, held.at)
+		}
+		if now-last > silentTime {
+			continue
+		}
+		if held == nil || now-held.at > reportMaxAge || held.report.Phase != Drain ||
+			held.report.Revision != r.status.Revision || held.report.OldInFlight > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Release) logPhase(message string) Action {
+	d := &r.decision
+	draws, exposed := uint64(0), uint64(0)
+	for _, held := range r.reports {
+		draws += held.report.Draws
+		exposed += held.report.Exposed
+	}
+	suspicion := d.judge.Suspicion()
+	return Action{Kind: Log, Message: message, Values: []any{
+		"service", r.service, "target", r.target, "phase", d.phase.String(), "share", d.share, "reason", d.verdict,
+		"requests", draws, "exposed", exposed, "attempts", d.judge.Attempts(), "failures", d.judge.Failures(),
+		"late", d.judge.Late(), "suspicion", suspicion.Share(), "evidence", suspicion.String(), "daemons", len(r.members),
+	}}
+}
+
+// want sets the status to be written.
+func (d *decision) want(status Status) {
+	if d.pending == nil || !d.pending.Equal(status) {
+		d.pending = &status
+	}
+}
+
+// write returns the action that brings the pending status to the store, if it is due.
+func (r *Release) write(now clock.Millis) []Action {
+	d := &r.decision
+	if d.pending == nil || d.inFlight || now < d.retryAt {
+		return nil
+	}
+	d.inFlight = true
+	if d.uncertain {
+		return []Action{{Kind: ReadStatus}}
+	}
+	return []Action{{Kind: WriteStatus, Status: *d.pending, Expect: r.status.Revision, OrderRevision: r.order.Revision}}
+}
+
+// Result is the result of writing or reading a status.
+type Result struct {
+	// Known is unset if the store gave no usable answer. A write may then have taken
+	// effect, or may do so later.
+	Known bool
+	// Status is the status that the store holds after the call.
+	Status Status
+}
+
+// HandleWrite takes the result of WriteStatus. Without an answer the status is read
+// before it is written again.
+func (r *Release) HandleWrite(now clock.Millis, result Result, timeOfDay int64) []Action {
+	r.decision.uncertain = !result.Known
+	return r.handleResult(now, result, timeOfDay)
+}
+
+// HandleRead takes the result of ReadStatus.
+func (r *Release) HandleRead(now clock.Millis, result Result, timeOfDay int64) []Action {
+	if result.Known {
+		r.decision.uncertain = false
+	}
+	return r.handleResult(now, result, timeOfDay)
+}
+
+func (r *Release) handleResult(now clock.Millis, result Result, timeOfDay int64) []Action {
+	d := &r.decision
+	d.inFlight = false
+	if !result.Known {
+		d.retryAt = now + writeRetryInterval
+		return nil
+	}
+	r.SetStatus(now, result.Status, timeOfDay)
+	if d.pending == nil || !d.pending.Equal(r.status) {
+		// Another decider or an order came first. The next Tick decides anew.
+		d.pending, d.retryAt = nil, now+writeRetryInterval
+		return nil
+	}
+	d.pending = nil
+	return []Action{r.logPhase("release " + string(r.status.State))}
+}
--- /dev/null
+++ b/core/release/release.go
@@ -0,0 +1,392 @@
+// Package release moves the traffic of a service to replicas of a new version.
+//
+// Operators order it with the version and a time. Each daemon runs a Release for each
+// ordered service. One of the daemons, the decider, collects the evidence of all,
+// judges the new version, and publishes its word: the share of the requests that the
+// new version gets. The status of the release, running, completed or rolled back, is
+// written to the platform's store by compare-and-swap, and outlives all daemons.
+//
+// Each daemon also bounds the requests that it sends to an unproven version by its own
+// traffic, so that the bound on the fleet's exposure does not depend on messages.
+//
+// # Usage
+//
+//	r := release.New(now, "ledger", self, settings)
+//	r.SetOrder(now, &order)              // nil if there is none
+//	r.SetStatus(now, status)             // the zero value if there is none
+//	r.SetMembers(now, daemons)
+//	r.ReceiveReport(now, daemon, report) // evidence of another daemon
+//	r.ReceiveWord(now, word, age)
+//	for _, action := range r.Tick(now, local) { publish, write, read or log }
+//	r.HandleWrite(now, result)
+//	pool.SetVersionRule(r.Rule())
+package release
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/quota"
+	"github.com/lovagegap/lovagegap/core/replica"
+)
+
+// Settings bounds the exposure to a new version.
+type Settings struct {
+	// An unproven version gets at most ExposureShare of the requests to the service,
+	// plus ExposureSlack.
+	ExposureShare, ExposureSlack float64
+	// RollbackTime is the time from the 50th bad answer of a bad version to its last
+	// request. Zero stands for defaultRollbackTime.
+	RollbackTime clock.Millis
+}
+
+// Order is the operators' order to move a service to a version.
+type Order struct {
+	Target   string
+	Duration clock.Millis
+	Revision uint64 // of the item in the store
+}
+
+// State is the state of a release as the store holds it.
+type State string
+
+// States. A terminal state never changes.
+const (
+	Running    State = "running"
+	Completed  State = "completed"
+	RolledBack State = "rolled_back"
+)
+
+// Terminal reports whether the state is final.
+func (s State) Terminal() bool { return s == Completed || s == RolledBack }
+
+// Status is the status of a release. The zero value means that there is none.
+type Status struct {
+	State     State
+	Target    string
+	Excluded  []string // versions that earlier releases did not complete
+	Decider   string   // daemon that wrote it
+	StartedAt int64    // time of day at which the release started, in Unix ms
+	Revision  uint64   // of the item in the store; 0 if there is none
+}
+
+// Equal reports whether two statuses state the same, whatever their revisions.
+func (s Status) Equal(other Status) bool {
+	return s.State == other.State && s.Target == other.Target && s.Decider == other.Decider &&
+		s.StartedAt == other.StartedAt && slices.Equal(s.Excluded, other.Excluded)
+}
+
+// maxExcluded bounds the versions that a status lists as rolled back.
+const maxExcluded = 8
+
+// Phase is the phase of a release.
+type Phase uint8
+
+// Phases, in order.
+const (
+	// Trial sends a bounded part of the requests to the new version.
+	Trial Phase = iota
+	// Ramp follows when the version is found good; the share grows to 1.
+	Ramp
+	// Drain selects only the new version until no request is in flight at an old one.
+	Drain
+	// Rejected follows when the version is found bad.
+	Rejected
+)
+
+// String names the phase as it appears in logs.
+func (p Phase) String() string {
+	if int(p) < 4 {
+		return [...]string{"trial", "ramp", "drain", "rejected"}[p]
+	}
+	return "unknown"
+}
+
+// Word is what the decider tells all daemons.
+type Word struct {
+	Target   string  `cbor:"1,keyasint"`
+	Revision uint64  `cbor:"2,keyasint"` // of the decider's status; the word with the highest one is obeyed
+	Sequence uint64  `cbor:"3,keyasint"` // orders the words of a decider
+	Phase    Phase   `cbor:"4,keyasint"`
+	Share    float64 `cbor:"5,keyasint"`
+	// ElapsedMs is the time since the order.
+	ElapsedMs float64 `cbor:"6,keyasint"`
+	Daemons   int     `cbor:"7,keyasint"` // that share the slack of the exposure bound
+}
+
+// newer reports whether the word replaces another one.
+func (w *Word) newer(other *Word) bool {
+	if w.Revision != other.Revision {
+		return w.Revision > other.Revision
+	}
+	return w.Sequence > other.Sequence
+}
+
+// Report is the evidence of one daemon since the order reached it. All counts only grow.
+type Report struct {
+	Target      string `cbor:"1,keyasint"`
+	DataCentre  string `cbor:"2,keyasint"` // of the daemon
+	Revision    uint64 `cbor:"3,keyasint"` // of the word in force
+	Phase       Phase  `cbor:"4,keyasint"` // in force
+	Draws       uint64 `cbor:"5,keyasint"` // requests to the service
+	Exposed     uint64 `cbor:"6,keyasint"` // requests sent to the new version
+	OldInFlight int    `cbor:"7,keyasint"`
+	Targets     int    `cbor:"8,keyasint"` // usable replicas of the new version
+	Cells       []Cell `cbor:"-"`
+}
+
+const (
+	defaultRollbackTime = 5 * clock.Second
+	// maxInterval is the longest time between two reports of a daemon, two words of the
+	// decider, and two windows of the judge. The three delays add up.
+	maxInterval = 500 * clock.Millisecond
+	// intervalFraction of the rollback time bounds that time too.
+	intervalFraction = 0.1
+	// wordLifeFraction of the rollback time is the time after which a daemon without a
+	// newer word sends nothing more to a version that isn't proven.
+	wordLifeFraction = 0.5
+	// drainLifetime is that time in the phase Drain. It exceeds the time between the
+	// last report of a daemon and the completion that is based on it, so that no
+	// daemon goes back to an old version that is stopped.
+	drainLifetime = 10 * clock.Second
+	// maxStoreAge is the age of the view of the store from which a decider gives no
+	// word, since the order may have been removed.
+	maxStoreAge = 5 * clock.Second
+	// settleTime is the time for which a daemon waits for the reports and words of the
+	// others before it decides.
+	settleTime = 1500 * clock.Millisecond
+	// inheritedAge is the time that a release has run before a daemon heard of it, from
+	// which it takes no part of the slack of the exposure bound: an earlier run of the
+	// daemon may have used it.
+	inheritedAge = 3 * clock.Second
+	// writeRetryInterval is the time between two attempts to write or read a status.
+	writeRetryInterval = 1 * clock.Second
+	// usableBound is the share of the bound on the exposure that is used. The rest is
+	// for the time between the first bad answers of a version found good and the
+	// rollback.
+	usableBound = 0.7
+)
+
+// rollbackTime returns the time for a rollback.
+func (s *Settings) rollbackTime() clock.Millis {
+	if s.RollbackTime <= 0 {
+		return defaultRollbackTime
+	}
+	return s.RollbackTime
+}
+
+// interval returns the time between two reports, words and windows.
+func (r *Release) interval() clock.Millis {
+	return min(maxInterval, r.settings.rollbackTime()*intervalFraction)
+}
+
+// wordLifetime returns the time for which a word is obeyed before the drain.
+func (r *Release) wordLifetime() clock.Millis { return r.settings.rollbackTime() * wordLifeFraction }
+
+// heldReport is the latest report of a daemon.
+type heldReport struct {
+	report  Report
+	at      clock.Millis
+	counted map[CellKey]Counts // already in the windows
+}
+
+// Release is the state of the release of one service on one daemon. It is not safe for
+// concurrent use.
+type Release struct {
+	service, self string
+	settings      Settings
+
+	order     *Order
+	status    Status
+	inherited bool // the release ran for inheritedAge before this daemon heard of it
+	startedAt clock.Millis
+	target    string   // that the fields below apply to
+	deciders  []string // daemons that may decide
+	members   []string // daemons that may send requests
+	word      Word
+	wordAt    clock.Millis
+	rejected  bool
+	reports   map[string]*heldReport // of all daemons, this one included
+	reportAt  clock.Millis
+
+	decision
+}
+
+// New returns the release of a service on the daemon self.
+func New(service, self string, settings Settings) *Release {
+	return &Release{service: service, self: self, settings: settings, deciders: []string{self}, members: []string{self},
+		reports: make(map[string]*heldReport)}
+}
+
+// ReplicaNumber returns the number under which the evidence of a replica is counted. There
+// are few, since the evidence of many replicas does not fit into a record.
+func ReplicaNumber(id string) uint32 { return 1 + uint32(xxhash.Sum64String(id)%4) }
+
+// Target returns the version that the release is about, or "".
+func (r *Release) Target() string {
+	switch {
+	case r.order != nil:
+		return r.order.Target
+	case r.status.Target != "":
+		return r.status.Target
+	default:
+		return r.word.Target
+	}
+}
+
+// Status returns the known status.
+func (r *Release) Status() Status { return r.status }
+
+// Active reports whether an order is being carried out.
+func (r *Release) Active() bool {
+	return r.order != nil && !(r.status.Target == r.order.Target && r.status.State.Terminal())
+}
+
+// SetOrder sets the order in force, or nil if it was removed. An order for the same
+// version does not restart the release.
+func (r *Release) SetOrder(now clock.Millis, order *Order) {
+	if order != nil && (r.order == nil || r.order.Target != order.Target) {
+		r.start(now, order.Target)
+	}
+	r.order = order
+	if order == nil {
+		r.decision.stop()
+	}
+}
+
+// start begins with a target version.
+func (r *Release) start(now clock.Millis, target string) {
+	r.startedAt = now
+	if r.target == target {
+		return
+	}
+	r.target, r.rejected = target, false
+	r.inherited = false
+	r.decision = decision{}
+	if r.word.Target != target {
+		r.word = Word{}
+	}
+	clear(r.reports)
+}
+
+// SetStatus sets the status as of the store. One that is older than the known one is
+// ignored. TimeOfDay is in Unix ms.
+func (r *Release) SetStatus(now clock.Millis, status Status, timeOfDay int64) {
+	if status.Revision < r.status.Revision && status.Revision != 0 {
+		return
+	}
+	first := r.status.Revision == 0
+	r.status = status
+	if status.State == Running && status.Target == r.target && first && status.Decider != r.self {
+		// After a restart of this daemon the time continues. The time of day may have
+		// jumped, so the elapsed time is bounded by the duration.
+		elapsed := clock.Millis(max(0, timeOfDay-status.StartedAt))
+		if r.order != nil {
+			elapsed = min(elapsed, r.order.Duration)
+		}
+		r.backdate(now, elapsed)
+	}
+}
+
+// backdate records that the release has run for a time, if that is longer than known.
+func (r *Release) backdate(now, elapsed clock.Millis) {
+	r.inherited = r.inherited || elapsed > now-r.startedAt+inheritedAge
+	r.startedAt = min(r.startedAt, now-elapsed)
+}
+
+// SetMembers sets the daemons of which one decides, and those that may send requests.
+func (r *Release) SetMembers(deciders, members []string) {
+	r.deciders = deciders
+	r.members = members
+	if !slices.Contains(members, r.self) {
+		r.members = append(slices.Clone(members), r.self)
+	}
+}
+
+// isDecider reports whether this daemon decides, by its view of the members.
+func (r *Release) isDecider() bool {
+	rank, ok := quota.NewTable(r.deciders).Rank("release/"+r.service, r.self)
+	return ok && rank == 0
+}
+
+// ReceiveReport takes the evidence of a daemon.
+func (r *Release) ReceiveReport(now clock.Millis, daemon string, report Report) {
+	held := r.reports[daemon]
+	switch {
+	case report.Target != r.target:
+		return
+	case held == nil:
+		held = &heldReport{counted: make(map[CellKey]Counts)}
+		r.reports[daemon] = held
+	}
+	held.report, held.at = report, now
+}
+
+// ReceiveWord takes the word of a decider that was published age ago. A word is obeyed if
+// its decider has written the latest status.
+func (r *Release) ReceiveWord(now clock.Millis, word Word, age clock.Millis) {
+	if !word.newer(&r.word) || word.Revision < r.status.Revision {
+		return
+	}
+	r.word, r.wordAt = word, now-max(0, age)
+	if word.Target != r.target {
+		return
+	}
+	r.rejected = r.rejected || word.Phase == Rejected
+	if elapsed := clock.Millis(word.ElapsedMs); elapsed > 0 {
+		r.backdate(now, elapsed)
+	}
+}
+
+// Rule returns which versions the requests of the service may run on.
+func (r *Release) Rule() replica.VersionRule {
+	target := r.Target()
+	rule := replica.VersionRule{Mode: replica.OldVersions, Target: target, Excluded: r.excluded(target)}
+	current := r.status.Target == target
+	switch {
+	case target == "":
+		return replica.VersionRule{}
+	case current && r.status.State == Completed:
+		rule.Mode = replica.TargetOnly
+	case r.order == nil, r.rejected, !current || r.status.State != Running, r.word.Target != target,
+		r.word.Revision < r.status.Revision:
+	case r.word.Phase == Trial:
+		rule.Mode, rule.Share, rule.Until = replica.SplitVersions, r.word.Share, r.wordAt+r.wordLifetime()
+		rule.Bounded, rule.ExposureShare = true, r.settings.ExposureShare*usableBound
+		if !r.inherited {
+			rule.ExposureSlack = r.settings.ExposureSlack * usableBound / float64(max(1, r.word.Daemons, len(r.members)))
+		}
+	case r.word.Phase == Ramp:
+		rule.Mode, rule.Share, rule.Until = replica.SplitVersions, r.word.Share, r.wordAt+r.wordLifetime()
+	case r.word.Phase == Drain:
+		rule.Mode, rule.Until = replica.TargetOnly, r.wordAt+drainLifetime
+	}
+	return rule
+}
+
+// excluded returns the versions that earlier releases did not complete.
+func (r *Release) excluded(target string) []string {
+	excluded := r.status.Excluded
+	if r.status.Target != "" && r.status.State != Completed && r.status.Target != target {
+		excluded = append(slices.Clone(excluded), r.status.Target)
+	}
+	excluded = slices.DeleteFunc(slices.Clone(excluded), func(version string) bool { return version == target })
+	return excluded[max(0, len(excluded)-maxExcluded):]
+}
+
+// phaseInForce returns the phase of the word that the daemon obeys, and the revision of
+// that word.
+func (r *Release) phaseInForce(now clock.Millis) (Phase, uint64) {
+	switch rule := r.Rule(); {
+	case r.rejected:
+		return Rejected, r.word.Revision
+	case rule.Mode == replica.TargetOnly && now < rule.Until:
+		return Drain, r.word.Revision
+	case rule.Mode == replica.SplitVersions && now < rule.Until:
+		return r.word.Phase, r.word.Revision
+	default:
+		return Trial, 0
+	}
+}
--- /dev/null
+++ b/core/release/release_test.go
@@ -0,0 +1,534 @@
+package release
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/replica"
+)
+
+const (
+	simTick    = 100 * clock.Millisecond
+	simService = "ledger"
+)
+
+var simSettings = Settings{ExposureShare: 0.1, ExposureSlack: 50, RollbackTime: 5 * clock.Second}
+
+// fleetSim is a fleet of daemons on a manual clock, with a store and the pools that send
+// requests under the rules of the releases.
+type fleetSim struct {
+	t       *testing.T
+	random  *rand.Rand
+	now     clock.Millis
+	daemons []*simDaemon
+	order   *Order
+	status  Status
+	history []State // that the store has held
+	calls   int
+	// loseReplies applies writes without a reply; silent answers no call.
+	loseReplies, silent bool
+	rate                float64 // requests per second of the fleet
+	failing             func() float64
+	requests, exposed   int
+	bad                 int
+	badLimitAt          clock.Millis // instant of the 50th bad answer, or 0
+	lastExposedAt       clock.Millis
+	oldAtCompletion     int // requests in flight at old replicas when the release completed
+}
+
+type simDaemon struct {
+	*Release
+	id          string
+	dead, cut   bool
+	pool        *replica.Pool
+	cells       map[CellKey]*Counts
+	open        []simRequest
+	seenOrder   *Order
+	storeSeenAt clock.Millis
+	writes      []Action // held back while paused
+	paused      bool
+}
+
+type simRequest struct {
+	replica   *replica.Replica
+	startedAt clock.Millis
+}
+
+func newFleetSim(t *testing.T, seed uint64, daemons int) *fleetSim {
+	s := &fleetSim{t: t, random: rand.New(rand.NewPCG(seed, 3)), now: 1000, rate: 120, failing: func() float64 { return 0 }}
+	for i := range daemons {
+		s.daemons = append(s.daemons, s.newDaemon(fmt.Sprintf("d%d", i)))
+	}
+	return s
+}
+
+func (s *fleetSim) newDaemon(id string) *simDaemon {
+	set := replica.NewSet("a", rand.New(rand.NewPCG(s.random.Uint64(), 1)), replica.BudgetPolicy{Window: clock.Second})
+	for i := range 6 {
+		version := "v1"
+		if i >= 3 {
+			version = "v2"
+		}
+		set.Upsert(s.now, replica.NewEntry(replica.Spec{
+			ID: fmt.Sprintf("i-%d", i), Service: simService, Address: fmt.Sprintf("10.0.0.%d:80", i+1), DataCentre: "a",
+			Slots: 8, Version: version,
+		}))
+	}
+	return &simDaemon{
+		Release: New(simService, fmt.Sprintf("%s/%v", id, s.now), simSettings), id: id, pool: set.Pool(simService),
+		cells: make(map[CellKey]*Counts),
+	}
+}
+
+// restart replaces a daemon by a new run that remembers nothing.
+func (s *fleetSim) restart(i int) { s.daemons[i] = s.newDaemon(s.daemons[i].id) }
+
+func (s *fleetSim) setOrder(order *Order) { s.order = order }
+
+// alive returns the names of the daemons that the view of the members shows.
+func (s *fleetSim) alive() []string {
+	var names []string
+	for _, d := range s.daemons {
+		if !d.dead && !d.cut {
+			names = append(names, d.self)
+		}
+	}
+	return names
+}
+
+func (s *fleetSim) decider() *simDaemon {
+	for _, d := range s.daemons {
+		if !d.dead && !d.cut && d.isDecider() {
+			return d
+		}
+	}
+	return nil
+}
+
+// run advances the fleet until the instant, or until done returns true.
+func (s *fleetSim) run(length clock.Millis, done func() bool) {
+	for end := s.now + length; s.now < end && (done == nil || !done()); {
+		s.now += simTick
+		for _, d := range s.daemons {
+			if !d.dead && !d.paused {
+				s.step(d)
+			}
+		}
+	}
+}
+
+func (s *fleetSim) step(d *simDaemon) {
+	if !s.silent && !d.cut {
+		d.storeSeenAt = s.now
+		if d.seenOrder != s.order {
+			d.seenOrder = s.order
+			if s.order != nil && s.order.Target != d.Target() {
+				clear(d.cells)
+			}
+			d.SetOrder(s.now, s.order)
+		}
+		d.SetStatus(s.now, s.status, s.timeOfDay())
+	}
+	if !d.cut {
+		d.SetMembers(s.alive(), s.alive())
+	}
+	d.pool.SetVersionRule(d.Rule())
+	s.traffic(d)
+	draws, exposed, oldInFlight := d.pool.VersionTraffic()
+	local := Local{
+		DataCentre: "a", Draws: draws, Exposed: exposed, OldInFlight: oldInFlight, Targets: d.pool.UsableTargets(s.now),
+		StoreAge: s.now - d.storeSeenAt, TimeOfDay: s.timeOfDay(),
+	}
+	for key, counts := range d.cells {
+		cell := Cell{CellKey: key}
+		cell.Counts.add(*counts)
+		local.Cells = append(local.Cells, cell)
+	}
+	for _, action := range d.Tick(s.now, local) {
+		s.perform(d, action)
+	}
+	d.pool.SetVersionRule(d.Rule())
+}
+
+func (s *fleetSim) timeOfDay() int64 { return 1_700_000_000_000 + int64(s.now) }
+
+func (s *fleetSim) perform(d *simDaemon, action Action) {
+	switch action.Kind {
+	case PublishReport, PublishWord:
+		for _, other := range s.daemons {
+			if other == d || other.dead || other.cut || d.cut || other.paused {
+				continue
+			}
+			if action.Kind == PublishReport {
+				report, err := DecodeReport(EncodeReport(action.Report))
+				require.NoError(s.t, err)
+				other.ReceiveReport(s.now, d.self, report)
+			} else {
+				word, err := DecodeWord(EncodeWord(action.Word))
+				require.NoError(s.t, err)
+				other.ReceiveWord(s.now, word, 0)
+			}
+		}
+	case WriteStatus:
+		if d.paused {
+			d.writes = append(d.writes, action)
+			return
+		}
+		s.write(d, action)
+	case ReadStatus:
+		s.calls++
+		d.HandleRead(s.now, Result{Known: !s.silent && !d.cut, Status: s.status}, s.timeOfDay())
+	}
+}
+
+func (s *fleetSim) write(d *simDaemon, action Action) {
+	s.calls++
+	if s.silent || d.cut {
+		d.HandleWrite(s.now, Result{}, s.timeOfDay())
+		return
+	}
+	if s.status.Revision == action.Expect && s.order != nil && s.order.Revision == action.OrderRevision {
+		revision := max(s.status.Revision, s.order.Revision) + 1
+		s.status = action.Status
+		s.status.Revision = revision
+		s.history = append(s.history, s.status.State)
+		if s.status.State == Completed {
+			for _, other := range s.daemons {
+				if other.dead || other.cut {
+					continue
+				}
+				for _, q := range other.open {
+					if !q.replica.IsTarget() {
+						s.oldAtCompletion++
+					}
+				}
+			}
+		}
+	}
+	d.HandleWrite(s.now, Result{Known: !s.loseReplies, Status: s.status}, s.timeOfDay())
+}
+
+// traffic ends the requests of the last tick and sends new ones.
+func (s *fleetSim) traffic(d *simDaemon) {
+	var open []simRequest
+	for _, q := range d.open {
+		if s.random.Float64() < 0.3 {
+			open = append(open, q) // takes longer than a tick
+			continue
+		}
+		result, latency := replica.OK, clock.Millis(20*(0.7+0.6*s.random.Float64()))
+		key := CellKey{Route: "r"}
+		if q.replica.IsTarget() {
+			key.Replica = ReplicaNumber(q.replica.Entry().ID())
+			if s.random.Float64() < s.failing() {
+				result = replica.Failed
+				if s.bad++; s.bad == 50 {
+					s.badLimitAt = s.now
+				}
+			}
+		}
+		q.replica.End(s.now, q.startedAt, result, 20)
+		if d.cells[key] == nil {
+			d.cells[key] = &Counts{}
+		}
+		d.cells[key].Record(result == replica.Failed, latency)
+	}
+	d.open = open
+	for i := range poisson(s.random, s.rate/float64(len(s.daemons))*float64(simTick/clock.Second)) {
+		now := s.now + clock.Millis(i)/1000
+		choice := d.pool.DrawVersion(now)
+		r, err := d.pool.Pick(now, replica.NewCriteria(20, nil).OfVersion(choice))
+		if err != nil {
+			continue
+		}
+		s.requests++
+		r.Begin(now, 20)
+		d.pool.RecordDraw()
+		d.open = append(d.open, simRequest{replica: r, startedAt: now})
+		if r.Entry().Version() == "v2" && d.pool.HasRelease() {
+			s.exposed++
+			s.lastExposedAt = s.now
+			if d.Rule().Bounded && s.status.State == Running && d.word.Phase == Trial {
+				assert.LessOrEqual(s.t, float64(s.exposed), simSettings.ExposureShare*float64(s.requests)+simSettings.ExposureSlack,
+					"exposure before the verdict")
+			}
+		}
+	}
+}
+
+func (s *fleetSim) ended() bool { return s.status.State.Terminal() }
+
+// Guards against a sound version that is not completed in time or while requests are in
+// flight at old replicas, at several durations and amounts of traffic, and against more
+// than a handful of calls of the store.
+func TestGoodReleaseCompletes(t *testing.T) {
+	for _, duration := range []clock.Millis{12 * clock.Second, 30 * clock.Second, 120 * clock.Second} {
+		for _, rate := range []float64{2, 120, 1000} {
+			t.Run(fmt.Sprintf("%v/%v", duration, rate), func(t *testing.T) {
+				s := newFleetSim(t, 5, 10)
+				s.rate = rate
+				s.setOrder(&Order{Target: "v2", Duration: duration, Revision: 1})
+				ordered := s.now
+				s.run(2*duration, s.ended)
+				assert.Equal(t, Completed, s.status.State)
+				assert.LessOrEqual(t, s.now-ordered, duration)
+				assert.Zero(t, s.oldAtCompletion, "in flight at old replicas")
+				assert.LessOrEqual(t, s.calls, 3, "calls of the store")
+				s.run(20*clock.Second, nil)
+				assert.Equal(t, []State{Running, Completed}, s.history)
+				for _, d := range s.daemons {
+					assert.Equal(t, replica.TargetOnly, d.Rule().Mode)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a bad version that is completed, gets more than the exposure bound, or
+// is still used when the time for the rollback is over.
+func TestBadReleaseIsRolledBack(t *testing.T) {
+	const duration = 60 * clock.Second
+	for name, c := range map[string]struct {
+		failing func(s *fleetSim, elapsed clock.Millis) float64
+		rate    func(elapsed clock.Millis) float64
+	}{
+		"at once": {failing: func(*fleetSim, clock.Millis) float64 { return 0.5 }},
+		"always":  {failing: func(*fleetSim, clock.Millis) float64 { return 1 }},
+		"partly":  {failing: func(*fleetSim, clock.Millis) float64 { return 0.2 }},
+		"later": {failing: func(_ *fleetSim, elapsed clock.Millis) float64 {
+			return map[bool]float64{true: 0.4}[elapsed > duration/2]
+		}},
+		"under load": {failing: func(s *fleetSim, _ clock.Millis) float64 {
+			return map[bool]float64{true: 0.5}[s.daemons[0].word.Share > 0.3]
+		}},
+		"traffic falls": {
+			failing: func(*fleetSim, clock.Millis) float64 { return 0.3 },
+			rate: func(elapsed clock.Millis) float64 {
+				return map[bool]float64{true: 4, false: 400}[elapsed > 3*clock.Second]
+			},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(8) {
+				s := newFleetSim(t, seed, 10)
+				ordered := s.now
+				s.failing = func() float64 { return c.failing(s, s.now-ordered) }
+				s.setOrder(&Order{Target: "v2", Duration: duration, Revision: 1})
+				s.run(duration, func() bool {
+					if c.rate != nil {
+						s.rate = c.rate(s.now - ordered)
+					}
+					return false
+				})
+				assert.Equal(t, RolledBack, s.status.State, "seed %d", seed)
+				assert.LessOrEqual(t, float64(s.exposed), 0.1*float64(s.requests)+50, "exposure")
+				if s.badLimitAt > 0 {
+					assert.LessOrEqual(t, s.lastExposedAt, s.badLimitAt+simSettings.RollbackTime)
+				}
+				assert.Equal(t, []State{Running, RolledBack}, s.history)
+			}
+		})
+	}
+}
+
+// Guards against a decision that is lost, contradicted or made twice when deciders die,
+// pause or disagree, replies of the store are lost, or all daemons restart.
+func TestDeciderFaults(t *testing.T) {
+	const duration = 40 * clock.Second
+	for name, fault := range map[string]func(s *fleetSim){
+		"decider dies in the trial": func(s *fleetSim) {
+			s.run(8*clock.Second, nil)
+			s.decider().dead = true
+		},
+		"decider dies in the ramp": func(s *fleetSim) {
+			s.run(duration, func() bool { return s.daemons[0].word.Phase == Ramp })
+			s.decider().dead = true
+		},
+		"decider dies in the drain": func(s *fleetSim) {
+			s.run(duration, func() bool { return s.daemons[0].word.Phase == Drain })
+			s.decider().dead = true
+		},
+		"decider cut off from all": func(s *fleetSim) {
+			s.run(8*clock.Second, nil)
+			s.decider().cut = true
+		},
+		"two deciders": func(s *fleetSim) {
+			s.run(5*clock.Second, nil)
+			for _, d := range s.daemons[:2] {
+				d.deciders = []string{d.self}
+			}
+			s.run(simTick, nil)
+		},
+		"replies lost": func(s *fleetSim) {
+			s.loseReplies = true
+		},
+		"all restart in the trial": func(s *fleetSim) {
+			s.run(8*clock.Second, nil)
+			for i := range s.daemons {
+				s.restart(i)
+			}
+		},
+		"all restart in the ramp": func(s *fleetSim) {
+			s.run(duration, func() bool { return s.daemons[0].word.Phase == Ramp })
+			for i := range s.daemons {
+				s.restart(i)
+			}
+		},
+		"order repeated": func(s *fleetSim) {
+			s.run(8*clock.Second, nil)
+			s.setOrder(&Order{Target: "v2", Duration: duration, Revision: s.status.Revision + 1})
+		},
+	} {
+		for _, bad := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/bad=%v", name, bad), func(t *testing.T) {
+				s := newFleetSim(t, 9, 8)
+				ordered := s.now
+				if bad { // from a time at which every fault has happened
+					s.failing = func() float64 { return map[bool]float64{true: 0.5}[s.now > ordered+9*clock.Second] }
+				}
+				s.setOrder(&Order{Target: "v2", Duration: duration, Revision: 1})
+				fault(s)
+				s.run(ordered+duration-s.now, s.ended)
+				want := Completed
+				if bad {
+					want = RolledBack
+				}
+				assert.Equal(t, want, s.status.State)
+				assert.Zero(t, s.oldAtCompletion)
+				first := s.status
+				for i := range s.daemons { // a restart of all does not change a terminal status
+					s.restart(i)
+				}
+				s.run(20*clock.Second, nil)
+				assert.Equal(t, first, s.status)
+				for _, d := range s.daemons {
+					mode := d.Rule().Mode
+					assert.Equal(t, map[State]replica.VersionMode{Completed: replica.TargetOnly, RolledBack: replica.OldVersions}[want], mode)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a decider that resumes between its decision and the write, and undoes
+// what its successor has decided.
+func TestPausedDeciderCannotUndoDecision(t *testing.T) {
+	s := newFleetSim(t, 4, 6)
+	s.setOrder(&Order{Target: "v2", Duration: 30 * clock.Second, Revision: 1})
+	s.run(6*clock.Second, nil)
+	paused := s.decider()
+	stale := Action{
+		Kind: WriteStatus, Status: paused.terminal(Completed), Expect: s.status.Revision, OrderRevision: 1,
+	}
+	paused.dead = true
+	s.failing = func() float64 { return 0.6 }
+	s.run(20*clock.Second, s.ended)
+	require.Equal(t, RolledBack, s.status.State)
+	s.write(paused, stale)
+	assert.Equal(t, RolledBack, s.status.State)
+	assert.Equal(t, RolledBack, paused.Status().State, "the decider must take the status from the refusal")
+}
+
+// Guards against requests to the new version while the order is removed, the store is
+// silent, or a daemon hears nothing of the decider; and against a terminal state that is
+// written without an order.
+func TestNewVersionStopsWithoutWord(t *testing.T) {
+	for name, fault := range map[string]func(s *fleetSim){
+		"order removed": func(s *fleetSim) { s.setOrder(nil) },
+		"store silent":  func(s *fleetSim) { s.silent = true },
+		"partitioned": func(s *fleetSim) {
+			for _, d := range s.daemons {
+				d.cut = true
+				d.deciders = []string{"other"}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newFleetSim(t, 2, 6)
+			s.setOrder(&Order{Target: "v2", Duration: 60 * clock.Second, Revision: 1})
+			s.run(10*clock.Second, nil)
+			require.Positive(t, s.exposed)
+			at := s.now
+			fault(s)
+			s.run(30*clock.Second, nil)
+			assert.LessOrEqual(t, s.lastExposedAt-at, maxStoreAge+simSettings.RollbackTime*wordLifeFraction+2*simTick)
+			assert.Equal(t, []State{Running}, s.history)
+		})
+	}
+}
+
+// Guards against rules that allow a version which no order or configuration allows: an
+// order reaches only some daemons, changes midway, or follows a rollback.
+func TestRuleOfState(t *testing.T) {
+	order := &Order{Target: "v2", Duration: clock.Minute, Revision: 3}
+	for name, c := range map[string]struct {
+		order  *Order
+		status Status
+		word   Word
+		want   replica.VersionRule
+	}{
+		"nothing known":       {want: replica.VersionRule{}},
+		"order only":          {order: order, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2"}},
+		"word without order":  {word: Word{Target: "v2", Revision: 9, Share: 1, Phase: Ramp}, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2"}},
+		"running, no word":    {order: order, status: Status{State: Running, Target: "v2", Revision: 4}, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2"}},
+		"completed":           {order: order, status: Status{State: Completed, Target: "v2", Revision: 4}, want: replica.VersionRule{Mode: replica.TargetOnly, Target: "v2"}},
+		"completed, no order": {status: Status{State: Completed, Target: "v2", Revision: 4}, want: replica.VersionRule{Mode: replica.TargetOnly, Target: "v2"}},
+		"rolled back":         {order: order, status: Status{State: RolledBack, Target: "v2", Revision: 4}, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2"}},
+		"next order after a rollback": {
+			order: &Order{Target: "v3", Duration: clock.Minute, Revision: 7}, status: Status{State: RolledBack, Target: "v2", Revision: 4},
+			want: replica.VersionRule{Mode: replica.OldVersions, Target: "v3", Excluded: []string{"v2"}},
+		},
+		"word of an earlier decider": {
+			order: order, status: Status{State: Running, Target: "v2", Revision: 9}, word: Word{Target: "v2", Revision: 8, Share: 1, Phase: Ramp},
+			want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := New(simService, "d", simSettings)
+			if c.order != nil {
+				r.SetOrder(1000, c.order)
+			}
+			r.SetStatus(1000, c.status, 0)
+			if c.word.Target != "" {
+				r.ReceiveWord(1000, c.word, 0)
+			}
+			assert.Equal(t, c.want, r.Rule())
+		})
+	}
+}
+
+// Guards against an order that is changed midway and leaves the first version in use.
+func TestOrderChangedMidway(t *testing.T) {
+	s := newFleetSim(t, 3, 5)
+	s.setOrder(&Order{Target: "v2", Duration: 60 * clock.Second, Revision: 1})
+	s.run(10*clock.Second, nil)
+	s.setOrder(&Order{Target: "v3", Duration: 60 * clock.Second, Revision: s.status.Revision + 1})
+	s.run(3*clock.Second, nil)
+	assert.Equal(t, Running, s.status.State)
+	assert.Equal(t, "v3", s.status.Target)
+	s.run(60*clock.Second, nil)
+	assert.Equal(t, RolledBack, s.status.State, "no replica of the version exists")
+}
+
+// FuzzRecord guards against a record of a peer that ends the daemon.
+func FuzzRecord(f *testing.F) {
+	f.Add(EncodeWord(Word{Target: "v2", Share: 0.5}))
+	f.Add(EncodeReport(Report{Target: "v2", Cells: []Cell{{CellKey: CellKey{Route: "r", Replica: 2}, Counts: Counts{Attempts: 2, Latency: []uint32{0, 0, 2}}}}}))
+	f.Fuzz(func(_ *testing.T, body []byte) {
+		r := New(simService, "d", simSettings)
+		r.SetOrder(0, &Order{Target: "v2", Duration: clock.Minute})
+		if word, err := DecodeWord(body); err == nil {
+			r.ReceiveWord(10, word, 0)
+		}
+		if report, err := DecodeReport(body); err == nil {
+			r.ReceiveReport(10, "e", report)
+		}
+		r.Tick(2000, Local{})
+		r.Tick(4000, Local{})
+	})
+}
--- /dev/null
+++ b/core/release/wire.go
@@ -0,0 +1,116 @@
+package release
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/lovagegap/lovagegap/core/fleet"
+)
+
+// ErrMalformed reports a record that does not follow the format or exceeds one of its
+// limits.
+var ErrMalformed = errors.New("malformed release record")
+
+const (
+	maxCells   = 64
+	maxDaemons = 1 << 16
+)
+
+// wireReport is a report in a record. The names of routes are listed once.
+type wireReport struct {
+	Report
+	Routes []string   `cbor:"10,keyasint,omitempty"`
+	Cells  []wireCell `cbor:"11,keyasint,omitempty"`
+}
+
+// wireCell holds a cell. Latency begins with the first bucket that isn't empty.
+type wireCell struct {
+	_        struct{} `cbor:",toarray"`
+	Route    int
+	Replica  uint32
+	Attempts uint32
+	Failures uint32
+	First    int
+	Latency  []uint32
+}
+
+// EncodeReport returns the body of a record. If it would exceed the limit of records,
+// the evidence of all routes is counted together.
+func EncodeReport(report Report) []byte {
+	body := encodeReport(report)
+	if len(body) <= fleet.MaxRecordBodyBytes {
+		return body
+	}
+	merged := make(Window)
+	for _, cell := range report.Cells {
+		merged.add("", Cell{CellKey: CellKey{Replica: cell.Replica}, Counts: cell.Counts})
+	}
+	report.Cells = merged[""]
+	return encodeReport(report)
+}
+
+func encodeReport(report Report) []byte {
+	wire := wireReport{Report: report}
+	indexes := make(map[string]int)
+	for _, cell := range report.Cells {
+		index, ok := indexes[cell.Route]
+		if !ok {
+			index = len(wire.Routes)
+			indexes[cell.Route], wire.Routes = index, append(wire.Routes, cell.Route)
+		}
+		first := 0
+		for first < len(cell.Latency) && cell.Latency[first] == 0 {
+			first++
+		}
+		wire.Cells = append(wire.Cells, wireCell{
+			Route: index, Replica: cell.Replica, Attempts: cell.Attempts, Failures: cell.Failures,
+			First: first, Latency: cell.Latency[first:],
+		})
+	}
+	body, _ := cbor.Marshal(wire)
+	return body
+}
+
+// DecodeReport decodes a report. Errors wrap ErrMalformed.
+func DecodeReport(body []byte) (Report, error) {
+	var wire wireReport
+	if err := cbor.Unmarshal(body, &wire); err != nil {
+		return Report{}, errors.Wrapf(ErrMalformed, "%v", err)
+	}
+	report := wire.Report
+	if report.Phase > Rejected || report.OldInFlight < 0 || report.Targets < 0 || len(wire.Cells) > maxCells {
+		return Report{}, errors.Wrap(ErrMalformed, "report out of range")
+	}
+	for _, c := range wire.Cells {
+		if c.Route < 0 || c.Route >= len(wire.Routes) || c.First < 0 || c.First > latencyBuckets || c.First+len(c.Latency) > latencyBuckets ||
+			c.Failures > c.Attempts {
+			return Report{}, errors.Wrap(ErrMalformed, "evidence out of range")
+		}
+		cell := Cell{CellKey: CellKey{Route: wire.Routes[c.Route], Replica: c.Replica}}
+		cell.Attempts, cell.Failures = c.Attempts, c.Failures
+		if len(c.Latency) > 0 {
+			cell.Latency = append(make([]uint32, c.First), c.Latency...)
+		}
+		report.Cells = append(report.Cells, cell)
+	}
+	return report, nil
+}
+
+// EncodeWord returns the body of a record.
+func EncodeWord(word Word) []byte {
+	body, _ := cbor.Marshal(word)
+	return body
+}
+
+// DecodeWord decodes a word. Errors wrap ErrMalformed.
+func DecodeWord(body []byte) (Word, error) {
+	var word Word
+	if err := cbor.Unmarshal(body, &word); err != nil {
+		return Word{}, errors.Wrapf(ErrMalformed, "%v", err)
+	}
+	if word.Phase > Rejected || !(word.Share >= 0 && word.Share <= 1) || !(word.ElapsedMs >= 0) ||
+		word.Daemons < 0 || word.Daemons > maxDaemons || word.Target == "" {
+		return Word{}, errors.Wrap(ErrMalformed, "word out of range")
+	}
+	return word, nil
+}
