gateway: releases of services, run by the daemons and kept in the platform's store

Cause: core/release has no adapter: orders are not read, evidence is not counted, no status is written. Change: op/rollout/ and status/rollout/ items become store updates; Store gains Get and CompareAndSwap; entry/gateway/releases.go runs the state machines and publishes reports and words as records; the engine counts results by route, version and replica, from the instant at which an exchange has a connection.

--- a/core/release/evidence.go
+++ b/core/release/evidence.go
@@ -56,6 +56,13 @@
 	}
 }
 
+// Clone returns a copy.
+func (c *Counts) Clone() Counts {
+	var copied Counts
+	copied.add(*c)
+	return copied
+}
+
 // since returns the counts that were added after earlier ones. Counts that have fallen
 // count as 0.
 func (c *Counts) since(earlier Counts) Counts {
--- a/core/release/release.go
+++ b/core/release/release.go
@@ -340,6 +340,44 @@
 	}
 }
 
+// ForgetWord ends the effect of the word, for example because this daemon was suspended
+// for a time that its clock does not count.
+func (r *Release) ForgetWord(now clock.Millis) {
+	r.wordAt = min(r.wordAt, now-max(drainLifetime, r.wordLifetime()))
+}
+
+// SetOrderRevision records that the item of the order has another revision, although the
+// order in force stays: its new content is invalid.
+func (r *Release) SetOrderRevision(revision uint64) {
+	if r.order != nil {
+		order := *r.order
+		order.Revision = revision
+		r.order = &order
+	}
+}
+
+// Idle reports whether neither an order nor a status is known, so that the release need
+// not be kept once the words of deciders have expired.
+func (r *Release) Idle(now clock.Millis) bool {
+	return r.order == nil && r.status.Target == "" && now >= r.wordAt+clock.Minute
+}
+
+// Share returns the share that the new version gets at present, for metrics, and the
+// phase of the latest word.
+func (r *Release) Share(now clock.Millis) (float64, Phase) {
+	switch rule := r.Rule(); {
+	case rule.Until > 0 && now >= rule.Until:
+		return 0, r.word.Phase
+	case rule.Mode == replica.TargetOnly:
+		return 1, r.word.Phase
+	default:
+		return rule.Share, r.word.Phase
+	}
+}
+
+// Evidence returns the judge of the decider; it is empty on other daemons.
+func (r *Release) Evidence() *Judge { return &r.decision.judge }
+
 // Rule returns which versions the requests of the service may run on.
 func (r *Release) Rule() replica.VersionRule {
 	target := r.Target()
--- a/entry/exchange/exchange.go
+++ b/entry/exchange/exchange.go
@@ -119,9 +119,10 @@
 	client *Client
 	spec   Spec
 
-	mu        sync.Mutex
-	conn      *conn
-	abandoned bool
+	mu          sync.Mutex
+	conn        *conn
+	connectedAt clock.Millis // 0 before it
+	abandoned   bool
 }
 
 // NewExchange returns an exchange that starts when Run is called.
@@ -150,10 +151,19 @@
 		return false
 	}
 	x.conn = c
+	x.connectedAt = x.client.clock.Now()
 	_ = c.SetDeadline(deadline)
 	return true
 }
 
+// ConnectedAt returns the instant at which the exchange had a connection, and false if
+// it had none.
+func (x *Exchange) ConnectedAt() (clock.Millis, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.connectedAt, x.connectedAt > 0
+}
+
 // detach removes the connection from the exchange, and reports whether the exchange has
 // been abandoned.
 func (x *Exchange) detach() bool {
--- a/entry/gateway/configuration.go
+++ b/entry/gateway/configuration.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/release"
 	"github.com/lovagegap/lovagegap/core/replica"
 )
 
@@ -177,7 +178,11 @@
 		RetryBudget: replica.BudgetPolicy{
 			Ratio: p.Repeats.Ratio, Slack: p.Repeats.Slack, Window: clock.Second * clock.Millis(p.Repeats.WindowS),
 		},
-		GracePeriod:     clock.Second * clock.Millis(p.GraceS),
+		GracePeriod: clock.Second * clock.Millis(p.GraceS),
+		Releases: release.Settings{
+			ExposureShare: p.Releases.ExposureShare, ExposureSlack: p.Releases.ExposureSlack,
+			RollbackTime: clock.Millis(p.Releases.RollbackMs),
+		},
 		AddressLifetime: clock.Second * clock.Millis(p.LifetimeS),
 	}
 }
--- a/entry/gateway/crashes.go
+++ b/entry/gateway/crashes.go
@@ -45,6 +45,10 @@
 // those of other kinds. The tracker calls it with its lock held.
 func (g *Gateway) handleRecord(record fleet.Record) {
 	switch record.Kind() {
+	case releaseReportKind, releaseWordKind:
+		if g.dependencies.Releases != nil {
+			g.releases.handleRecord(record)
+		}
 	case crashRecordKind:
 		if len(record.Key()) <= len(record.Body())+1 {
 			return
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/fleet"
 	"github.com/lovagegap/lovagegap/core/mirror"
+	"github.com/lovagegap/lovagegap/core/release"
 	"github.com/lovagegap/lovagegap/core/replica"
 	"github.com/lovagegap/lovagegap/entry/exchange"
 	"github.com/lovagegap/lovagegap/entry/frontend"
@@ -54,6 +55,7 @@
 	CallerHeaders   frontend.HeaderNames
 	StorePrefix     string // of the keys of the store that are mirrored
 	RegistryPrefix  string // of the keys under which daemons register in the store; empty for none
+	Releases        release.Settings
 }
 
 // Page is a page of a listing of the store, or a batch of its changes. More
@@ -75,6 +77,23 @@
 	Watch(ctx context.Context, prefix string, after uint64, wait clock.Millis) (Page, error)
 	// Put writes the value of a key.
 	Put(ctx context.Context, key string, value []byte) error
+	// Get returns the item of a key, and false if there is none. Get and CompareAndSwap
+	// may be called by several goroutines.
+	Get(ctx context.Context, key string) (mirror.Item, bool, error)
+	// CompareAndSwap writes the value of a key if all expectations hold, and returns its
+	// revision. Otherwise the error is marked with ErrConflict, and the items are the
+	// current ones of the expected keys. After another error the write may have taken
+	// effect, or may do so later.
+	CompareAndSwap(ctx context.Context, expected []Expectation, key string, value []byte) (uint64, []mirror.Item, error)
+}
+
+// ErrConflict means that a key has not the expected revision.
+var ErrConflict = errors.New("a key has not the expected revision")
+
+// Expectation states the revision that a key must have; 0 means that it does not exist.
+type Expectation struct {
+	Key      string
+	Revision uint64
 }
 
 // Interpreter decodes items of the store.
@@ -89,6 +108,7 @@
 type Dependencies struct {
 	Store       Store
 	Interpreter Interpreter
+	Releases    ReleaseCodec // nil disables releases
 	Log         logr.Logger
 	Clock       clock.Clock
 	Random      *rand.Rand
@@ -110,6 +130,7 @@
 	delegates    *delegates
 	hub          *peers.Hub
 	mirrorSyncer *mirrorSyncer
+	releases     *releases
 	compressor   compressor
 
 	callerListener net.Listener
@@ -134,6 +155,7 @@
 	config.RetryBudget.ProcessStart = now
 	self := fleet.NewMember(fleet.ID(config.PeerAddress), config.CallerAddress, config.DataCentre, config.Region,
 		uint64(time.Now().UnixMilli()))
+	g.releases = newReleases(g, self)
 	g.delegates = newDelegates(dependencies.Clock, self, config.Key, deriveGenerator(dependencies.Random))
 	g.engine = routing.New(routing.Dependencies{
 		Clock: dependencies.Clock, Log: g.log.WithName("routing"), DataCentre: config.DataCentre,
@@ -229,6 +251,9 @@
 	})
 	g.tasks.Go(func() { g.tracker.Run(background) })
 	g.tasks.Go(func() { g.mirrorSyncer.run(background) })
+	if g.dependencies.Releases != nil {
+		g.tasks.Go(func() { g.releases.run(background) })
+	}
 	select {
 	case <-g.configured:
 	case <-time.After(maxConfigurationWait):
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -20,6 +20,9 @@
 	for _, state := range []fleet.State{fleet.Joining, fleet.Alive, fleet.Leaving, fleet.Suspect, fleet.Dead, fleet.Left} {
 		set("members."+state.String(), states[state])
 	}
+	for name, value := range g.releases.metrics() {
+		set(name, value)
+	}
 	reached, age, calls := g.mirrorSyncer.storeMetrics()
 	set("store.reached", reached)
 	set("store.age-ms", age)
--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -180,6 +180,10 @@
 		s.gateway.tracker.AddSeeds(seeds)
 	}
 	if len(updates) > 0 {
+		// An order restricts the versions before the replicas that come with it are listed.
+		if s.gateway.dependencies.Releases != nil {
+			s.gateway.releases.apply(updates)
+		}
 		s.gateway.engine.ApplyUpdates(updates)
 	}
 	if len(changes) > 0 {
--- a/entry/routing/call.go
+++ b/entry/routing/call.go
@@ -144,6 +144,9 @@
 		c.recordNotices(now, attempt, target, reply.Notices())
 	}
 	c.updateQuarantine(now, sent, target.Entry(), result, reply)
+	if connected, ok := x.ConnectedAt(); ok {
+		c.recordEvidence(now, connected, target, result)
+	}
 	actions := c.machine.RecordResult(now, attempt, result)
 	e.logStateChange(now, target, result)
 	c.perform(now, actions)
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -76,9 +76,10 @@
 	running           map[*call]struct{}
 	partition         dispatch.PartitionDetector
 	crashes           crashTracker
-	stopAt            clock.Millis // when the daemon exits, or 0 if no stop is planned
-	storeViewTime     clock.Millis // time up to which changes of the store are known
-	panics            int64        // events whose handling panicked
+	releases          map[string]*releaseEvidence // by service, while its versions are restricted
+	stopAt            clock.Millis                // when the daemon exits, or 0 if no stop is planned
+	storeViewTime     clock.Millis                // time up to which changes of the store are known
+	panics            int64                       // events whose handling panicked
 }
 
 // New returns an engine without a configuration. It refuses requests until
@@ -92,6 +93,7 @@
 		profiles:     make(map[string]*dispatch.LatencyProfile),
 		admissions:   make(map[string]*dispatch.Admission),
 		running:      make(map[*call]struct{}),
+		releases:     make(map[string]*releaseEvidence),
 	}
 	e.crashes.quarantine.SetCanaryEnabled(false)
 	e.crashes.quarantine.SetOutageSpread(outageSpread)
--- a/entry/routing/trace.go
+++ b/entry/routing/trace.go
@@ -12,6 +12,7 @@
 type exchangeTrace struct {
 	Service   string       `json:"service"`
 	Replica   string       `json:"replica"`
+	Version   string       `json:"version,omitempty"` // during a release
 	Purpose   string       `json:"purpose"`
 	At        clock.Millis `json:"at"`             // ms since the request arrived
 	Took      clock.Millis `json:"took,omitempty"` // ms
@@ -24,8 +25,12 @@
 
 func (c *call) traceSend(now clock.Millis, action dispatch.Action) {
 	entry := action.Replica().Entry()
+	version := ""
+	if c.engine.releases[entry.Service()] != nil {
+		version = entry.Version()
+	}
 	c.traces = append(c.traces, exchangeTrace{
-		Service: entry.Service(), Replica: entry.ID(), Purpose: action.Purpose().String(),
+		Service: entry.Service(), Replica: entry.ID(), Version: version, Purpose: action.Purpose().String(),
 		At: truncateToTenths(now - c.startedAt), Result: unanswered, InFlight: action.Replica().InFlight(),
 		ListedAgo: truncateToTenths(now - c.engine.storeViewTime),
 	})
--- a/entry/routing/updates.go
+++ b/entry/routing/updates.go
@@ -22,6 +22,9 @@
 	// RemovedReplica is the id of a replica that left the list or whose entry is
 	// invalid.
 	RemovedReplica string
+	// Order and Status belong to the release of a service; the engine ignores them.
+	Order  *OrderUpdate
+	Status *StatusUpdate
 }
 
 // ApplyUpdates applies updates in the order in which the store made them. A
