release: panel of daemons, paused and competing deciders, replicas that run alone

Cause: reports of all daemons would exceed the control traffic of a large fleet; a decider that resumed took old reports for silent daemons, and its words carried sequences that the others ignored; two deciders that did not see each other wrote the status in turns, 93 calls in 6 s; an order for the version that runs already left no replica to use; a report too large to name its routes counted evidence twice. Change: 32 daemons take part in the trial and the others report changes in the drain only; a decider waits again after a pause, takes a release over at most once in 5 s, and continues the sequence; the target is allowed while no other version is listed; cold replicas do not count as able to carry the load.

--- a/core/release/decider.go
+++ b/core/release/decider.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/lovagegap/lovagegap/core/clock"
 )
@@ -17,7 +18,7 @@
 	minFinish      = 5 * clock.Second
 	maxFinish      = 40 * clock.Second
 	// drainAfter is the fraction of the finish after which the drain begins.
-	drainAfter = 0.75
+	drainAfter = 0.6
 	// minTrialFraction of the duration is left to the trial of a short release.
 	minTrialFraction = 0.3
 
@@ -37,10 +38,19 @@
 	// time it suffices to reject the version.
 	unresolved = 0.5
 	// silentTime is the time without a report after which a daemon no longer delays the
-	// completion.
-	silentTime = 3 * clock.Second
-	// reportMaxAge is the age up to which a report shows that a daemon has drained.
-	reportMaxAge = 1500 * clock.Millisecond
+	// completion. Where all daemons publish their reports in short intervals,
+	// silentPanelTime suffices.
+	silentTime      = 6 * clock.Second
+	silentPanelTime = 3 * clock.Second
+	// reportMaxAge is the age up to which a report shows that a daemon has drained. It is
+	// shorter than drainLifetime, in which the daemon does not use an old version.
+	reportMaxAge = 5 * clock.Second
+	// contentionDelay is the least time between two take-overs of a release by the same
+	// daemon.
+	contentionDelay = 5 * clock.Second
+	// maxPause is the time between two ticks from which a decider takes the reports that
+	// it holds for outdated, and waits as if it began to decide.
+	maxPause = clock.Second
 )
 
 // rampShares are the shares of the ramp, with the fraction of the finish from which each
@@ -55,7 +65,6 @@
 	phase         Phase
 	phaseAt       clock.Millis
 	share         float64
-	sequence      uint64
 	spokenAt      clock.Millis
 	pending       *Status // the status that is to be written
 	inFlight      bool    // a write or read is in progress
@@ -132,18 +141,36 @@
 		Target: r.target, DataCentre: local.DataCentre, Revision: revision, Phase: phase, Draws: local.Draws, Exposed: local.Exposed,
 		OldInFlight: local.OldInFlight, Targets: local.Targets, Cells: local.Cells,
 	}
-	if now >= r.reportAt+r.interval() {
-		r.reportAt = now
+	if r.reportDue(now, report) {
+		r.reportAt, r.reported = now, report
+		if !r.panelist {
+			report.Cells = nil
+		}
 		actions = append(actions, Action{Kind: PublishReport, Report: report})
 	}
 	r.ReceiveReport(now, r.self, report)
-	if !r.isDecider() {
+	if !r.first || (r.tickedAt > 0 && now > r.tickedAt+maxPause) {
 		r.decision.stop()
+	}
+	r.tickedAt = now
+	if !r.first {
 		return actions
 	}
 	return append(actions, r.decide(now, local)...)
 }
 
+// reportDue reports whether to publish the report. Daemons that take part in the trial
+// publish all of them, the others changes of what delays the completion.
+func (r *Release) reportDue(now clock.Millis, report Report) bool {
+	since := now - r.reportAt
+	if r.panelist {
+		return since >= r.interval()
+	}
+	changed := report.Phase != r.reported.Phase || report.Revision != r.reported.Revision ||
+		(report.OldInFlight > 0) != (r.reported.OldInFlight > 0) || (report.Targets > 0) != (r.reported.Targets > 0)
+	return since >= quietInterval || (changed && report.Phase == Drain && since >= r.interval())
+}
+
 func (r *Release) decide(now clock.Millis, local Local) []Action {
 	d := &r.decision
 	if d.decidingSince == 0 {
@@ -157,11 +184,17 @@
 	}
 	var actions []Action
 	if r.status.Target != r.target || r.status.State != Running || r.status.Decider != r.self {
+		d.phaseAt = 0
+		if r.status.Target == r.target && r.ownedAt > 0 && now < r.ownedAt+contentionDelay {
+			return nil // another daemon decides too; the two must not write in turns
+		}
 		// The write makes sure that no earlier decider can still change the status.
-		d.want(Status{
-			State: Running, Target: r.target, Excluded: r.excluded(r.target), Decider: r.self,
-			StartedAt: local.TimeOfDay - int64(now-r.startedAt),
-		})
+		if d.pending == nil || d.pending.State != Running || d.pending.Target != r.target {
+			d.want(Status{
+				State: Running, Target: r.target, Excluded: r.excluded(r.target), Decider: r.self,
+				StartedAt: local.TimeOfDay - int64(now-r.startedAt),
+			})
+		}
 		return append(actions, r.write(now)...)
 	}
 	if d.phaseAt == 0 {
@@ -184,14 +217,16 @@
 	if d.phase == Rejected {
 		d.want(r.terminal(RolledBack))
 	}
-	if d.phase == Drain && r.drained(now) {
+	switch drained := d.phase == Drain && r.drained(now); {
+	case drained:
 		d.want(r.terminal(Completed))
+	case d.pending != nil && d.pending.State == Completed && !d.inFlight:
+		d.pending = nil // the write failed, and the release is no longer drained
 	}
 	if now >= d.spokenAt+r.interval() || r.word.Phase != d.phase || r.word.Revision != r.status.Revision {
 		d.spokenAt = now
-		d.sequence++
 		word := Word{
-			Target: r.target, Revision: r.status.Revision, Sequence: d.sequence, Phase: d.phase, Share: d.share,
+			Target: r.target, Revision: r.status.Revision, Sequence: r.word.Sequence + 1, Phase: d.phase, Share: d.share,
 			ElapsedMs: float64(now - r.startedAt), Daemons: len(r.members),
 		}
 		r.ReceiveWord(now, word, 0)
@@ -287,6 +322,7 @@
 func (r *Release) takeWindow() Window {
 	w := make(Window)
 	for _, held := range r.reports {
+		held.mergeCounted()
 		for _, cell := range held.report.Cells {
 			before := held.counted[cell.CellKey]
 			if fresh := cell.Counts.since(before); fresh.Attempts > 0 || len(fresh.Latency) > 0 {
@@ -300,6 +336,22 @@
 	return w
 }
 
+// mergeCounted adapts what has been counted to a report that no longer names routes,
+// because its evidence would exceed a record.
+func (h *heldReport) mergeCounted() {
+	if slices.ContainsFunc(h.report.Cells, func(cell Cell) bool { return cell.Route != "" }) {
+		return
+	}
+	for key, counted := range h.counted {
+		if key.Route != "" {
+			merged := h.counted[CellKey{Replica: key.Replica}]
+			merged.add(counted)
+			h.counted[CellKey{Replica: key.Replica}] = merged
+			delete(h.counted, key)
+		}
+	}
+}
+
 // targetsUsable reports whether the daemons have usable replicas of the new version.
 func (r *Release) targetsUsable(now clock.Millis) bool {
 	for _, held := range r.reports {
@@ -314,13 +366,17 @@
 // send one. A daemon that is silent for long does not count: it is dead, or no longer
 // obeys the word.
 func (r *Release) drained(now clock.Millis) bool {
+	silent := silentTime
+	if len(r.members) <= panelSize {
+		silent = silentPanelTime
+	}
 	for _, member := range r.members {
 		held := r.reports[member]
 		last := r.decision.phaseAt
 		if held != nil {
 			last = max(last, held.at)
 		}
-		if now-last > silentTime {
+		if now-last > silent {
 			continue
 		}
 		if held == nil || now-held.at > reportMaxAge || held.report.Phase != Drain ||
@@ -404,5 +460,8 @@
 		return nil
 	}
 	d.pending = nil
+	if r.status.State == Running {
+		r.ownedAt = now
+	}
 	return []Action{r.logPhase("release " + string(r.status.State))}
 }
--- a/core/release/release.go
+++ b/core/release/release.go
@@ -163,6 +163,12 @@
 	inheritedAge = 3 * clock.Second
 	// writeRetryInterval is the time between two attempts to write or read a status.
 	writeRetryInterval = 1 * clock.Second
+	// panelSize is the number of daemons that take part in the trial. Reports of more
+	// daemons would exceed the limit on control traffic of a large fleet.
+	panelSize = 32
+	// quietInterval is the time between two reports of another daemon whose state has
+	// not changed.
+	quietInterval = 4 * clock.Second
 	// usableBound is the share of the bound on the exposure that is used. The rest is
 	// for the time between the first bad answers of a version found good and the
 	// rollback.
@@ -210,6 +216,11 @@
 	rejected  bool
 	reports   map[string]*heldReport // of all daemons, this one included
 	reportAt  clock.Millis
+	reported  Report // without cells, the latest of this daemon
+	tickedAt  clock.Millis
+	ownedAt   clock.Millis // instant at which this daemon last became the decider in the store
+	first     bool         // this daemon is the decider by its view of the members
+	panelist  bool         // this daemon takes part in the trial
 
 	decision
 }
@@ -217,7 +228,7 @@
 // New returns the release of a service on the daemon self.
 func New(service, self string, settings Settings) *Release {
 	return &Release{service: service, self: self, settings: settings, deciders: []string{self}, members: []string{self},
-		reports: make(map[string]*heldReport)}
+		first: true, panelist: true, reports: make(map[string]*heldReport)}
 }
 
 // ReplicaNumber returns the number under which the evidence of a replica is counted. There
@@ -298,18 +309,21 @@
 
 // SetMembers sets the daemons of which one decides, and those that may send requests.
 func (r *Release) SetMembers(deciders, members []string) {
-	r.deciders = deciders
-	r.members = members
 	if !slices.Contains(members, r.self) {
-		r.members = append(slices.Clone(members), r.self)
+		members = append(slices.Clone(members), r.self)
 	}
+	if slices.Equal(deciders, r.deciders) && slices.Equal(members, r.members) {
+		return
+	}
+	r.deciders, r.members = deciders, members
+	rank, ok := quota.NewTable(deciders).Rank(resource+r.service, r.self)
+	r.first = ok && rank == 0
+	rank, _ = quota.NewTable(members).Rank(resource+r.service, r.self)
+	r.panelist = rank < panelSize
 }
 
-// isDecider reports whether this daemon decides, by its view of the members.
-func (r *Release) isDecider() bool {
-	rank, ok := quota.NewTable(r.deciders).Rank("release/"+r.service, r.self)
-	return ok && rank == 0
-}
+// resource names the hash by which daemons are ranked for a service.
+const resource = "release/"
 
 // ReceiveReport takes the evidence of a daemon.
 func (r *Release) ReceiveReport(now clock.Millis, daemon string, report Report) {
@@ -381,20 +395,23 @@
 // Rule returns which versions the requests of the service may run on.
 func (r *Release) Rule() replica.VersionRule {
 	target := r.Target()
-	rule := replica.VersionRule{Mode: replica.OldVersions, Target: target, Excluded: r.excluded(target)}
 	current := r.status.Target == target
+	rule := replica.VersionRule{
+		Mode: replica.OldVersions, Target: target, Excluded: r.excluded(target),
+		TargetIfAlone: r.Active() && !r.rejected,
+	}
 	switch {
 	case target == "":
 		return replica.VersionRule{}
 	case current && r.status.State == Completed:
 		rule.Mode = replica.TargetOnly
 	case r.order == nil, r.rejected, !current || r.status.State != Running, r.word.Target != target,
-		r.word.Revision < r.status.Revision:
+		r.word.Revision < r.status.Revision, r.word.Phase == Trial && !r.panelist:
 	case r.word.Phase == Trial:
 		rule.Mode, rule.Share, rule.Until = replica.SplitVersions, r.word.Share, r.wordAt+r.wordLifetime()
 		rule.Bounded, rule.ExposureShare = true, r.settings.ExposureShare*usableBound
 		if !r.inherited {
-			rule.ExposureSlack = r.settings.ExposureSlack * usableBound / float64(max(1, r.word.Daemons, len(r.members)))
+			rule.ExposureSlack = r.settings.ExposureSlack * usableBound / float64(min(panelSize, max(1, r.word.Daemons, len(r.members))))
 		}
 	case r.word.Phase == Ramp:
 		rule.Mode, rule.Share, rule.Until = replica.SplitVersions, r.word.Share, r.wordAt+r.wordLifetime()
--- a/core/release/release_test.go
+++ b/core/release/release_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/fleet"
 	"github.com/lovagegap/lovagegap/core/replica"
 )
 
@@ -30,6 +31,7 @@
 	status  Status
 	history []State // that the store has held
 	calls   int
+	reports int // published
 	// loseReplies applies writes without a reply; silent answers no call.
 	loseReplies, silent bool
 	rate                float64 // requests per second of the fleet
@@ -45,6 +47,8 @@
 	*Release
 	id          string
 	dead, cut   bool
+	alone       bool         // takes itself for the only daemon that may decide
+	goneAt      clock.Millis // instant at which it last answered
 	pool        *replica.Pool
 	cells       map[CellKey]*Counts
 	open        []simRequest
@@ -80,7 +84,7 @@
 		}))
 	}
 	return &simDaemon{
-		Release: New(simService, fmt.Sprintf("%s/%v", id, s.now), simSettings), id: id, pool: set.Pool(simService),
+		Release: New(simService, fmt.Sprintf("%s/%v", id, s.now), simSettings), id: id, goneAt: s.now, pool: set.Pool(simService),
 		cells: make(map[CellKey]*Counts),
 	}
 }
@@ -90,20 +94,32 @@
 
 func (s *fleetSim) setOrder(order *Order) { s.order = order }
 
-// alive returns the names of the daemons that the view of the members shows.
-func (s *fleetSim) alive() []string {
-	var names []string
+// Times after which the fleet suspects a daemon that does not answer, and drops it.
+const (
+	simSuspicion = 3500 * clock.Millisecond
+	simDrop      = 6500 * clock.Millisecond
+)
+
+// view returns the daemons that the view of the members shows as alive, and all that it
+// shows. A daemon that does not answer stays for a time.
+func (s *fleetSim) view() (alive, present []string) {
 	for _, d := range s.daemons {
-		if !d.dead && !d.cut {
-			names = append(names, d.self)
+		if !d.dead && !d.cut && !d.paused {
+			d.goneAt = s.now
+		}
+		if s.now-d.goneAt < simSuspicion {
+			alive = append(alive, d.self)
+		}
+		if s.now-d.goneAt < simDrop {
+			present = append(present, d.self)
 		}
 	}
-	return names
+	return alive, present
 }
 
 func (s *fleetSim) decider() *simDaemon {
 	for _, d := range s.daemons {
-		if !d.dead && !d.cut && d.isDecider() {
+		if !d.dead && !d.cut && d.first {
 			return d
 		}
 	}
@@ -134,8 +150,11 @@
 		}
 		d.SetStatus(s.now, s.status, s.timeOfDay())
 	}
-	if !d.cut {
-		d.SetMembers(s.alive(), s.alive())
+	switch alive, present := s.view(); {
+	case d.alone:
+		d.SetMembers([]string{d.self}, present)
+	case !d.cut:
+		d.SetMembers(alive, present)
 	}
 	d.pool.SetVersionRule(d.Rule())
 	s.traffic(d)
@@ -160,6 +179,9 @@
 func (s *fleetSim) perform(d *simDaemon, action Action) {
 	switch action.Kind {
 	case PublishReport, PublishWord:
+		if action.Kind == PublishReport {
+			s.reports++
+		}
 		for _, other := range s.daemons {
 			if other == d || other.dead || other.cut || d.cut || other.paused {
 				continue
@@ -263,6 +285,57 @@
 
 func (s *fleetSim) ended() bool { return s.status.State.Terminal() }
 
+// Guards against a release in a fleet of more daemons than take part in the trial that is
+// judged wrongly, or completes while one of them has a request at an old replica.
+func TestLargeFleet(t *testing.T) {
+	for want, failing := range map[State]float64{Completed: 0, RolledBack: 0.4} {
+		s := newFleetSim(t, 6, 3*panelSize)
+		s.rate, s.failing = 400, func() float64 { return failing }
+		s.setOrder(&Order{Target: "v2", Duration: 40 * clock.Second, Revision: 1})
+		s.run(40*clock.Second, s.ended)
+		assert.Equal(t, want, s.status.State)
+		assert.Zero(t, s.oldAtCompletion)
+		assert.LessOrEqual(t, s.reports, 40*2*panelSize+3*3*panelSize*40/4, "reports")
+	}
+}
+
+// Guards against evidence that is counted twice when a report becomes too large to name
+// its routes.
+func TestLargeReport(t *testing.T) {
+	report := Report{Target: "v2", DataCentre: "a"}
+	for route := range 4 {
+		for number := range uint32(5) {
+			cell := Cell{CellKey: CellKey{Route: fmt.Sprint("route-", route), Replica: number}}
+			for bucket := range latencyBuckets {
+				cell.addLatency(bucket, 10)
+			}
+			cell.Attempts = 10 * latencyBuckets
+			report.Cells = append(report.Cells, cell)
+		}
+	}
+	r := New(simService, "d", simSettings)
+	r.SetOrder(0, &Order{Target: "v2", Duration: clock.Minute})
+	r.ReceiveReport(1, "e", report)
+	r.takeWindow()
+	for i := range report.Cells {
+		report.Cells[i].Counts = report.Cells[i].Clone()
+		for bucket := range latencyBuckets {
+			report.Cells[i].addLatency(bucket, 1000)
+		}
+		report.Cells[i].Attempts += 1000 * latencyBuckets
+	}
+	body := EncodeReport(report)
+	assert.LessOrEqual(t, len(body), fleet.MaxRecordBodyBytes)
+	decoded, err := DecodeReport(body)
+	require.NoError(t, err)
+	r.ReceiveReport(2, "e", decoded)
+	total := uint32(0)
+	for _, cell := range r.takeWindow()["a"] {
+		total += cell.Attempts
+	}
+	assert.Equal(t, uint32(4*5*1000*latencyBuckets), total)
+}
+
 // Guards against a sound version that is not completed in time or while requests are in
 // flight at old replicas, at several durations and amounts of traffic, and against more
 // than a handful of calls of the store.
@@ -357,12 +430,32 @@
 			s.run(8*clock.Second, nil)
 			s.decider().cut = true
 		},
+		"decider pauses briefly": func(s *fleetSim) {
+			s.run(6*clock.Second, nil)
+			paused := s.decider()
+			paused.paused = true
+			s.run(2*clock.Second, nil)
+			paused.paused = false
+			sequence := s.daemons[0].word.Sequence
+			s.run(4*clock.Second, nil)
+			assert.Greater(s.t, s.daemons[0].word.Sequence, sequence, "words after the pause must be obeyed")
+		},
+		"decider pauses in the drain": func(s *fleetSim) {
+			s.run(duration, func() bool { return s.daemons[0].word.Phase == Drain })
+			paused := s.decider()
+			paused.paused = true
+			s.run(7*clock.Second, s.ended)
+			paused.paused = false
+		},
 		"two deciders": func(s *fleetSim) {
 			s.run(5*clock.Second, nil)
 			for _, d := range s.daemons[:2] {
-				d.deciders = []string{d.self}
+				d.alone = true
+			}
+			s.run(6*clock.Second, nil)
+			for _, d := range s.daemons {
+				d.alone = false
 			}
-			s.run(simTick, nil)
 		},
 		"replies lost": func(s *fleetSim) {
 			s.loseReplies = true
@@ -400,6 +493,7 @@
 				}
 				assert.Equal(t, want, s.status.State)
 				assert.Zero(t, s.oldAtCompletion)
+				assert.LessOrEqual(t, s.calls, 8, "calls of the store")
 				first := s.status
 				for i := range s.daemons { // a restart of all does not change a terminal status
 					s.restart(i)
@@ -444,7 +538,8 @@
 		"partitioned": func(s *fleetSim) {
 			for _, d := range s.daemons {
 				d.cut = true
-				d.deciders = []string{"other"}
+				_, present := s.view()
+				d.SetMembers([]string{"other"}, present)
 			}
 		},
 	} {
@@ -473,19 +568,19 @@
 		want   replica.VersionRule
 	}{
 		"nothing known":       {want: replica.VersionRule{}},
-		"order only":          {order: order, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2"}},
+		"order only":          {order: order, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2", TargetIfAlone: true}},
 		"word without order":  {word: Word{Target: "v2", Revision: 9, Share: 1, Phase: Ramp}, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2"}},
-		"running, no word":    {order: order, status: Status{State: Running, Target: "v2", Revision: 4}, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2"}},
+		"running, no word":    {order: order, status: Status{State: Running, Target: "v2", Revision: 4}, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2", TargetIfAlone: true}},
 		"completed":           {order: order, status: Status{State: Completed, Target: "v2", Revision: 4}, want: replica.VersionRule{Mode: replica.TargetOnly, Target: "v2"}},
 		"completed, no order": {status: Status{State: Completed, Target: "v2", Revision: 4}, want: replica.VersionRule{Mode: replica.TargetOnly, Target: "v2"}},
 		"rolled back":         {order: order, status: Status{State: RolledBack, Target: "v2", Revision: 4}, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2"}},
 		"next order after a rollback": {
 			order: &Order{Target: "v3", Duration: clock.Minute, Revision: 7}, status: Status{State: RolledBack, Target: "v2", Revision: 4},
-			want: replica.VersionRule{Mode: replica.OldVersions, Target: "v3", Excluded: []string{"v2"}},
+			want: replica.VersionRule{Mode: replica.OldVersions, Target: "v3", Excluded: []string{"v2"}, TargetIfAlone: true},
 		},
 		"word of an earlier decider": {
 			order: order, status: Status{State: Running, Target: "v2", Revision: 9}, word: Word{Target: "v2", Revision: 8, Share: 1, Phase: Ramp},
-			want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2"},
+			want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2", TargetIfAlone: true},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/replica/version.go
+++ b/core/replica/version.go
@@ -38,6 +38,9 @@
 	// ExposureSlack, and no retries and hedges.
 	Bounded                      bool
 	ExposureShare, ExposureSlack float64
+	// TargetIfAlone allows the target version while no replica of another version is
+	// listed, as when the version that is ordered runs already.
+	TargetIfAlone bool
 }
 
 // mode returns the mode that is in force.
@@ -109,11 +112,12 @@
 	return n
 }
 
-// UsableTargets returns the number of usable replicas of the target version.
+// UsableTargets returns the number of usable replicas of the target version that are not
+// in a cold start.
 func (p *Pool) UsableTargets(now clock.Millis) int {
 	n := 0
 	for _, r := range p.replicas {
-		if p.versions != nil && r.entry.Version() == p.versions.rule.Target && r.available(now) {
+		if p.versions != nil && r.entry.Version() == p.versions.rule.Target && r.available(now) && !r.Cold(now) {
 			n++
 		}
 	}
@@ -166,10 +170,10 @@
 // passes the first; they are equal if there is no fallback. The pool has a rule.
 func (p *Pool) versionFilters(now clock.Millis, c *Criteria) (first, fallback versionFilter) {
 	v := p.versions
-	switch v.rule.mode(now) {
-	case TargetOnly:
+	switch mode := v.rule.mode(now); {
+	case mode == TargetOnly, p.targetAlone():
 		return targetVersion, targetVersion
-	case SplitVersions:
+	case mode == SplitVersions:
 		if v.rule.Share >= 1 && !v.rule.Bounded {
 			// A request drawn at a lower share no longer delays the drain.
 			return targetVersion, oldVersions
@@ -181,6 +185,13 @@
 	return oldVersions, oldVersions
 }
 
+// targetAlone reports whether the target version is allowed because no other one is listed.
+func (p *Pool) targetAlone() bool {
+	return p.versions.rule.TargetIfAlone && !slices.ContainsFunc(p.replicas, func(r *Replica) bool {
+		return p.allowsVersion(r, oldVersions)
+	})
+}
+
 // allowsVersion reports whether the filter and the rule of the pool allow the version of
 // a replica.
 func (p *Pool) allowsVersion(r *Replica, filter versionFilter) bool {
@@ -198,10 +209,10 @@
 	if p.versions == nil {
 		return true
 	}
-	switch p.versions.rule.mode(now) {
-	case TargetOnly:
+	switch mode := p.versions.rule.mode(now); {
+	case mode == TargetOnly, p.targetAlone():
 		return p.allowsVersion(r, targetVersion)
-	case SplitVersions:
+	case mode == SplitVersions:
 		return p.allowsVersion(r, targetVersion) || p.allowsVersion(r, oldVersions)
 	default:
 		return p.allowsVersion(r, oldVersions)
--- a/core/replica/version_test.go
+++ b/core/replica/version_test.go
@@ -48,6 +48,8 @@
 		"full share, target tried":         {rule: VersionRule{Mode: SplitVersions, Target: "v2", Share: 1}, tried: "v2", want: "v1"},
 		"bound reached":                    {rule: VersionRule{Mode: SplitVersions, Target: "v2", Share: 1, Bounded: true}, choice: TargetChoice, want: "v1"},
 		"bound reached at a partial share": {rule: VersionRule{Mode: SplitVersions, Target: "v2", Share: 0.9, Bounded: true}, choice: TargetChoice, want: "v1"},
+		"target alone":                     {rule: VersionRule{Mode: OldVersions, Target: "v2", Excluded: []string{"v1"}, TargetIfAlone: true}, want: "v2"},
+		"target not alone":                 {rule: VersionRule{Mode: OldVersions, Target: "v2", TargetIfAlone: true}, want: "v1"},
 		"old version was rolled back":      {rule: VersionRule{Mode: OldVersions, Target: "v3", Excluded: []string{"v2"}}, want: "v1"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/entry/gateway/releases.go
+++ b/entry/gateway/releases.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"fmt"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -28,6 +28,10 @@
 	// releaseTick is the interval at which the state machines run while there is an
 	// order or a status.
 	releaseTick = 100 * clock.Millisecond
+	// quietReleaseTick is that interval while no order is being carried out.
+	quietReleaseTick = clock.Second
+	// memberInterval is the interval at which the view of the members is read.
+	memberInterval = 500 * clock.Millisecond
 	// releaseCallTimeout bounds a call of the store.
 	releaseCallTimeout = 900 * time.Millisecond
 	// suspensionThreshold is the difference between the advance of the time of day and
@@ -53,6 +57,9 @@
 	settings release.Settings
 	wake     chan struct{}
 
+	deciders, members []string // used only by the goroutine of run
+	membersAt         clock.Millis
+
 	mu        sync.Mutex
 	byService map[string]*serviceRelease
 	callCount map[string]int64 // calls of the store by kind and outcome
@@ -79,7 +86,9 @@
 }
 
 // memberName names one run of a daemon.
-func memberName(m fleet.Member) string { return fmt.Sprintf("%s/%d", m.ID(), m.Incarnation()) }
+func memberName(m fleet.Member) string {
+	return string(m.ID()) + "/" + strconv.FormatUint(m.Incarnation(), 10)
+}
 
 func (s *releases) now() clock.Millis { return s.gateway.dependencies.Clock.Now() }
 
@@ -92,10 +101,7 @@
 	if r == nil {
 		r = &serviceRelease{Release: release.New(service, s.self, s.settings)}
 		s.byService[service] = r
-		select {
-		case s.wake <- struct{}{}:
-		default:
-		}
+		s.notify()
 	}
 	return r
 }
@@ -143,6 +149,7 @@
 		s.log.Info("release ordered", "service", update.Service, "target", update.Order.Target,
 			"duration", update.Order.Duration, "revision", update.Revision)
 		s.of(update.Service).SetOrder(now, update.Order)
+		s.notify()
 	}
 }
 
@@ -150,20 +157,24 @@
 func (s *releases) run(ctx context.Context) {
 	lastNow, lastTimeOfDay := s.now(), timeOfDay()
 	for {
-		s.mu.Lock()
-		idle := len(s.byService) == 0
-		s.mu.Unlock()
-		if idle {
-			select {
-			case <-s.wake:
-			case <-ctx.Done():
-				return
-			}
-			lastNow, lastTimeOfDay = s.now(), timeOfDay()
+		idle, quiet := s.idle()
+		var timer <-chan time.Time
+		switch {
+		case idle:
+		case quiet:
+			timer = time.After(quietReleaseTick.Duration())
+		default:
+			timer = time.After(releaseTick.Duration())
 		}
-		if !sleep(ctx, releaseTick) {
+		select {
+		case <-timer:
+		case <-s.wake:
+		case <-ctx.Done():
 			return
 		}
+		if idle {
+			lastNow, lastTimeOfDay = s.now(), timeOfDay()
+		}
 		now, today := s.now(), timeOfDay()
 		suspended := clock.Millis(today-lastTimeOfDay) > now-lastNow+suspensionThreshold
 		lastNow, lastTimeOfDay = now, today
@@ -171,9 +182,32 @@
 	}
 }
 
+// idle reports whether there is no release, and whether no order is being carried out.
+func (s *releases) idle() (idle, quiet bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.byService {
+		if r.Active() {
+			return false, false
+		}
+	}
+	return len(s.byService) == 0, true
+}
+
+// notify wakes run.
+func (s *releases) notify() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
 // tick runs the state machines once and carries out their actions.
 func (s *releases) tick(ctx context.Context, now clock.Millis, suspended bool) {
-	deciders, members := s.members()
+	if now >= s.membersAt+memberInterval || s.members == nil {
+		s.membersAt = now
+		s.deciders, s.members = s.readMembers()
+	}
 	_, storeAge, _ := s.gateway.mirrorSyncer.storeMetrics()
 	type work struct {
 		service string
@@ -190,7 +224,7 @@
 		if suspended {
 			r.ForgetWord(now)
 		}
-		r.SetMembers(deciders, members)
+		r.SetMembers(s.deciders, s.members)
 		s.gateway.engine.SetVersionRule(service, r.Rule())
 		if r.Active() {
 			local := s.gateway.engine.ReleaseTraffic(service)
@@ -207,9 +241,9 @@
 	}
 }
 
-// members returns the daemons that may decide, and those that may send requests. A
+// readMembers returns the daemons that may decide, and those that may send requests. A
 // daemon that is leaving still sends the requests that it has.
-func (s *releases) members() (deciders, members []string) {
+func (s *releases) readMembers() (deciders, members []string) {
 	for _, m := range s.gateway.tracker.Members() {
 		switch {
 		case m.State() == fleet.Dead, m.State() == fleet.Left, m.CallerAddress() == "":
--- a/entry/routing/release.go
+++ b/entry/routing/release.go
@@ -99,6 +99,9 @@
 		return
 	}
 	if target.Cold(connected) || e.isRemote(target) {
+		if result == replica.Abandoned {
+			return
+		}
 		latency = -1
 	}
 	key := release.CellKey{Route: c.route.Name()}
