--- a/core/release/decider.go
+++ b/core/release/decider.go
@@ -36,7 +36,7 @@
 
 	// unresolved is the suspicion from which the share does not grow. At the end of the
 	// time it suffices to reject the version.
-	unresolved = 0.5
+	unresolved = 0.35
 	// silentTime is the time without a report after which a daemon no longer delays the
 	// completion. Where all daemons publish their reports in short intervals,
 	// silentPanelTime suffices.
