release: a successor of the decider needs no settling time; silence counts from the last report

Cause: the decider's death in the drain delayed the completion of releases of up to 30 s past the duration: the successor waited 1.5 s although it had followed the release, and took the dead daemon for silent only 3 s after its own start. Change: the settling time counts from the start of following; silence counts from the last report.

--- a/core/release/decider.go
+++ b/core/release/decider.go
@@ -48,8 +48,8 @@
 	// contentionDelay is the least time between two take-overs of a release by the same
 	// daemon.
 	contentionDelay = 5 * clock.Second
-	// maxPause is the time between two ticks from which a decider takes the reports that
-	// it holds for outdated, and waits as if it began to decide.
+	// maxPause is the time between two ticks from which a daemon takes the reports that
+	// it holds for outdated, and waits for settleTime before it decides.
 	maxPause = clock.Second
 )
 
@@ -149,11 +149,13 @@
 		actions = append(actions, Action{Kind: PublishReport, Report: report})
 	}
 	r.ReceiveReport(now, r.self, report)
-	if !r.first || (r.tickedAt > 0 && now > r.tickedAt+maxPause) {
+	if now > r.tickedAt+maxPause {
 		r.decision.stop()
+		r.followedSince = now
 	}
 	r.tickedAt = now
 	if !r.first {
+		r.decision.stop()
 		return actions
 	}
 	return append(actions, r.decide(now, local)...)
@@ -179,7 +181,7 @@
 			clear(held.counted)
 		}
 	}
-	if now < d.decidingSince+settleTime || local.StoreAge > maxStoreAge {
+	if now < r.followedSince+settleTime || local.StoreAge > maxStoreAge {
 		return nil
 	}
 	var actions []Action
@@ -374,7 +376,7 @@
 		held := r.reports[member]
 		last := r.decision.phaseAt
 		if held != nil {
-			last = max(last, held.at)
+			last = held.at
 		}
 		if now-last > silent {
 			continue
--- a/core/release/release.go
+++ b/core/release/release.go
@@ -154,8 +154,8 @@
 	// maxStoreAge is the age of the view of the store from which a decider gives no
 	// word, since the order may have been removed.
 	maxStoreAge = 5 * clock.Second
-	// settleTime is the time for which a daemon waits for the reports and words of the
-	// others before it decides.
+	// settleTime is the time for which a daemon must have followed the release, to have
+	// the reports and words of the others, before it decides.
 	settleTime = 1500 * clock.Millisecond
 	// inheritedAge is the time that a release has run before a daemon heard of it, from
 	// which it takes no part of the slack of the exposure bound: an earlier run of the
@@ -218,9 +218,12 @@
 	reportAt  clock.Millis
 	reported  Report // without cells, the latest of this daemon
 	tickedAt  clock.Millis
-	ownedAt   clock.Millis // instant at which this daemon last became the decider in the store
-	first     bool         // this daemon is the decider by its view of the members
-	panelist  bool         // this daemon takes part in the trial
+	// followedSince is the instant from which the daemon has followed the release
+	// without a pause.
+	followedSince clock.Millis
+	ownedAt       clock.Millis // instant at which this daemon last became the decider in the store
+	first         bool         // this daemon is the decider by its view of the members
+	panelist      bool         // this daemon takes part in the trial
 
 	decision
 }
