release: daemons that have just started delay the completion; rollback without evidence waits 3 s

Cause: in the drain, a daemon without a report counted as silent since the drain began, so that a release could complete while one that had just started used old versions; a decider that began after the end of the duration rolled a version back before it had read the evidence. Change: silence of such a daemon counts from when it was first seen; the decider waits for evidence first.

--- a/core/release/decider.go
+++ b/core/release/decider.go
@@ -32,6 +32,9 @@
 	// does not begin before the fraction leastFinish of the finish is left.
 	leastAttempts = 20
 	leastFinish   = 0.6
+	// leastWait is the time that a decider waits for evidence, also one that begins
+	// after the end of the duration.
+	leastWait     = 3 * clock.Second
 	maxTrialShare = 0.5
 
 	// unresolved is the suspicion from which the share does not grow. At the end of the
@@ -70,7 +73,8 @@
 	inFlight      bool    // a write or read is in progress
 	uncertain     bool    // a write had no reply; the status must be read
 	retryAt       clock.Millis
-	verdict       string // for logs
+	verdict       string                  // for logs
+	unheard       map[string]clock.Millis // instant at which a daemon without a report was first seen in the drain
 }
 
 // stop ends deciding, for example because the order was removed.
@@ -253,7 +257,7 @@
 		return r.reject(now, "bad: "+suspicion.String())
 	case now >= dueAt && suspicion.Share() >= unresolved && d.phase != Drain:
 		return r.reject(now, "doubtful at the end of the time: "+suspicion.String())
-	case now >= r.startedAt+r.order.Duration && d.phase == Trial:
+	case d.phase == Trial && d.judge.Attempts() == 0 && now >= max(r.startedAt+r.order.Duration, d.phaseAt+leastWait):
 		return r.reject(now, "no evidence: no replica of the version was usable")
 	case d.phase == Trial && (now < rampAt || d.judge.Attempts() == 0 || suspicion.Share() >= unresolved ||
 		(d.judge.Attempts() < leastAttempts && now < dueAt-finish*leastFinish)):
@@ -374,7 +378,14 @@
 	}
 	for _, member := range r.members {
 		held := r.reports[member]
-		last := r.decision.phaseAt
+		if held == nil && r.decision.unheard[member] == 0 {
+			// It has just started, and may not have the word yet.
+			if r.decision.unheard == nil {
+				r.decision.unheard = make(map[string]clock.Millis)
+			}
+			r.decision.unheard[member] = now
+		}
+		last := r.decision.unheard[member]
 		if held != nil {
 			last = held.at
 		}
--- a/core/release/release_test.go
+++ b/core/release/release_test.go
@@ -299,6 +299,21 @@
 	}
 }
 
+// Guards against a completion while a daemon that has just started, long after the drain
+// began, may still use old versions.
+func TestStartedDaemonDelaysCompletion(t *testing.T) {
+	r := New(simService, "d", simSettings)
+	r.SetOrder(0, &Order{Target: "v2", Duration: clock.Minute})
+	r.phaseAt = 1000
+	now := r.phaseAt + 20*clock.Second
+	r.ReceiveReport(now, "d", Report{Target: "v2", Phase: Drain})
+	assert.True(t, r.drained(now))
+	r.SetMembers([]string{"d"}, []string{"d", "e"})
+	assert.False(t, r.drained(now))
+	r.ReceiveReport(now+silentPanelTime+1, "d", Report{Target: "v2", Phase: Drain})
+	assert.True(t, r.drained(now+silentPanelTime+1), "a daemon that never reports delays the completion for a time")
+}
+
 // Guards against evidence that is counted twice when a report becomes too large to name
 // its routes.
 func TestLargeReport(t *testing.T) {
