--- a/entry/gateway/configuration.go
+++ b/entry/gateway/configuration.go
@@ -11,6 +11,7 @@
 	"github.com/lovagegap/lovagegap/core/allowance"
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/mirror"
+	"github.com/lovagegap/lovagegap/core/release"
 	"github.com/lovagegap/lovagegap/core/replica"
 )
 
@@ -195,5 +196,9 @@
 		GracePeriod: clock.Second * clock.Millis(p.GraceS),
 		AddressLifetime: min(clock.Second*clock.Millis(p.LifetimeS),
 			clock.Second*clock.Millis(p.GraceS)*maxLifetimeFraction),
+		Releases: release.Settings{
+			ExposureShare: p.Releases.ExposureShare, ExposureSlack: p.Releases.ExposureSlack,
+			RollbackTime: clock.Millis(p.Releases.RollbackMs),
+		},
 	}
 }
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -91,12 +91,13 @@
 	running       map[*call]struct{}
 	partition     dispatch.PartitionDetector
 	crashes       crashTracker
-	stopAt        clock.Millis // when the daemon exits, or 0 if no stop is planned
-	storeViewTime clock.Millis // time up to which changes of the store are known
-	panics        int64        // events whose handling panicked
-	provenAt      clock.Millis // of the latest proof, on the clock that counts suspension
-	proven        bool         // whether there is a proof
-	staleLogged   bool         // the last logged result of configurationStale
+	releases      map[string]*releaseEvidence // by service, while its versions are restricted
+	stopAt        clock.Millis                // when the daemon exits, or 0 if no stop is planned
+	storeViewTime clock.Millis                // time up to which changes of the store are known
+	panics        int64                       // events whose handling panicked
+	provenAt      clock.Millis                // of the latest proof, on the clock that counts suspension
+	proven        bool                        // whether there is a proof
+	staleLogged   bool                        // the last logged result of configurationStale
 }
 
 // New returns an engine without a configuration. It refuses requests until
@@ -111,6 +112,7 @@
 		delays:       make(map[string]*dispatch.DelayProfile),
 		admissions:   make(map[string]*dispatch.Admission),
 		running:      make(map[*call]struct{}),
+		releases:     make(map[string]*releaseEvidence),
 	}
 	e.crashes.quarantine.SetCanaryEnabled(false)
 	e.crashes.quarantine.SetOutageSpread(outageSpread)
