connlimit: connections of all listeners share one account

Cause: nothing bounded what callers' connections hold together. A head could take 256 KiB (1 MiB at the other listeners) before its limit was checked, and many times that in short lines; a body was allocated as announced or read by io.ReadAll; an incomplete chunked body after a refusal was read without a deadline; connections were bounded by the descriptors only.

Change: core/intake decides which connections are kept, how many bytes each may reserve, and which one yields. entry/connlimit carries that out: a listener for all servers of both programs, heads measured before the parser sees them, bodies read into buffers of the account as they arrive, answers written in pieces with a stall timeout, refusals 431, 413, 408, 400 and 503 with Retry-After, metrics and sampled log lines. Limits follow from limits.memoryMb and limits.maxDescriptors, or from GOMEMLIMIT, the machine and the limit of descriptors; debug.SetMemoryLimit supports them.

--- a/entry/callers/callers.go
+++ b/entry/callers/callers.go
@@ -25,7 +25,11 @@
 	"github.com/lovagegap/lovagegap/entry/telemetry"
 )
 
-const maxBodySize = "1M" // in the notation of middleware.BodyLimit
+const (
+	// MaxBodyBytes is the limit of the body of a request.
+	MaxBodyBytes = 1_000_000
+	maxBodySize  = "1M" // the same in the notation of middleware.BodyLimit
+)
 
 // Service runs queries of one service. It is safe for concurrent use.
 type Service interface {
--- a/entry/callers/refusal.go
+++ b/entry/callers/refusal.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 
@@ -39,3 +40,18 @@
 		Code: r.code, Message: r.message, Ran: r.runState.String(), Owner: r.owner, Address: r.address,
 	}}
 }
+
+// WriteBodyRefusal writes the refusal of a request whose body was not read, in the form of
+// all other refusals. The request has not run.
+func WriteBodyRefusal(w http.ResponseWriter, status int, message string) {
+	code := map[int]string{
+		http.StatusRequestEntityTooLarge: "too-large", http.StatusRequestTimeout: "body-timeout",
+		http.StatusServiceUnavailable: "overloaded",
+	}[status]
+	if code == "" {
+		code = "malformed"
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(newRefusal(status, code, "%s", message).wire())
+}
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -19,9 +19,11 @@
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/fleet"
+	"github.com/lovagegap/lovagegap/core/intake"
 	"github.com/lovagegap/lovagegap/core/journal"
 	"github.com/lovagegap/lovagegap/core/ticket"
 	"github.com/lovagegap/lovagegap/entry/callers"
+	"github.com/lovagegap/lovagegap/entry/connlimit"
 	"github.com/lovagegap/lovagegap/entry/control"
 	"github.com/lovagegap/lovagegap/entry/operators"
 	"github.com/lovagegap/lovagegap/entry/peers"
@@ -43,6 +45,8 @@
 	// closed. It is longer than the lifetime of address answers, so that the caller
 	// closes first.
 	callerIdleTimeout = 2 * time.Minute
+	// maxPeerBodyBytes bounds bodies of requests to open links, which have none.
+	maxPeerBodyBytes = 4 << 10
 	// leaveFlushDelay is the time for the announcement that the daemon has left to
 	// reach its peers before the links close.
 	leaveFlushDelay = 200 * time.Millisecond
@@ -62,6 +66,7 @@
 	services      *services
 	controlLinks  *peers.Hub
 	relayLinks    *peers.Hub
+	limiter       *connlimit.Limiter
 }
 
 // Run runs an entry daemon. The end of ctx or an operator's request begins a
@@ -114,6 +119,9 @@
 	identity := peers.NewIdentity(configuration.peerAddress, incarnation)
 	d.controlLinks = peers.New(peers.Control, identity, configuration.peerKeys, d.control, log)
 	d.relayLinks = peers.New(peers.Relay, identity, configuration.peerKeys, d.relay, log)
+	resources := connlimit.SystemResources(intake.Resources{})
+	connlimit.SetMemoryLimit(resources)
+	d.limiter = connlimit.New(connlimit.Config{Resources: resources, Clock: d.clock, Log: log})
 	d.control.Connect(d.controlLinks)
 	d.relay.Connect(d.relayLinks)
 	return d
@@ -143,11 +151,17 @@
 	mux.Handle(string(peers.Control), d.controlLinks)
 	mux.Handle(string(peers.Relay), d.relayLinks)
 	handlers := []http.Handler{d.callerHandler(), d.operatorHandler(), mux}
+	options := []connlimit.Options{
+		{Class: intake.Callers, BufferedBodyBytes: callers.MaxBodyBytes, Refuse: callers.WriteBodyRefusal},
+		{Class: intake.Operators, BufferedBodyBytes: operators.MaxBodyBytes},
+		{Class: intake.Peers, BufferedBodyBytes: maxPeerBodyBytes},
+	}
 	var servers []*http.Server
 	for n, handler := range handlers {
 		server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
+		d.limiter.Prepare(server, options[n])
 		servers = append(servers, server)
-		go func() { _ = server.Serve(listeners[n]) }()
+		go func() { _ = server.Serve(d.limiter.Listen(listeners[n], options[n])) }()
 	}
 	return servers
 }
--- a/entry/daemon/discovery.go
+++ b/entry/daemon/discovery.go
@@ -193,6 +193,9 @@
 	}
 	d.control.SetLoad(float64(running))
 	d.telemetry.SetGauge("queries.running", int64(running))
+	for name, value := range d.limiter.Metrics() {
+		d.telemetry.SetGauge(name, value)
+	}
 	d.telemetry.SetGauge("links.control.sent-bytes", int64(d.controlLinks.SentBytes()))
 	d.telemetry.SetGauge("links.control.received-bytes", int64(d.controlLinks.ReceivedBytes()))
 	d.telemetry.SetGauge("links.control.rejected", int64(d.controlLinks.Rejected()))
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -12,16 +12,14 @@
 package frontend
 
 import (
-	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/entry/connlimit"
 	"github.com/lovagegap/lovagegap/entry/exchange"
 	"github.com/lovagegap/lovagegap/entry/routing"
 )
@@ -42,8 +40,6 @@
 	Leaving() bool
 }
 
-var errBodyTooLarge = errors.New("request body exceeds the limit")
-
 // Handler serves requests of callers. It is safe for concurrent use.
 type Handler struct {
 	engine    *routing.Engine
@@ -70,16 +66,14 @@
 		h.writeAnswer(w, r, refusal)
 		return
 	}
-	body, err := h.readBody(w, r, matched.Timeout(), int64(positiveOr(limits.MaxBodyBytes(), defaultBodyBytes)))
+	body, err := connlimit.ReadBody(w, r, int64(positiveOr(limits.MaxBodyBytes(), defaultBodyBytes)), matched.Timeout().Duration())
 	switch {
-	case errors.Is(err, errBodyTooLarge):
-		h.reject(w, r, path, http.StatusRequestEntityTooLarge, "request body exceeds the limit")
-		return
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		h.reject(w, r, path, http.StatusRequestTimeout, "request body not received in time")
-		return
+	case errors.Is(err, connlimit.ErrNoMemory):
+		w.Header().Set("Retry-After", connlimit.RetryAfter)
+		fallthrough
 	case err != nil:
-		h.reject(w, r, path, http.StatusBadRequest, "request body is incomplete or malformed")
+		status, reason := connlimit.RefusalOf(err)
+		h.reject(w, r, path, status, reason)
 		return
 	}
 	answer := h.engine.Serve(r.Context(), matched, h.newRequest(r, body))
@@ -103,30 +97,6 @@
 	return r.URL.EscapedPath()
 }
 
-// readBody reads the body, of at most limit bytes. It returns errBodyTooLarge, or
-// os.ErrDeadlineExceeded if the body is not complete within the timeout.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, timeout clock.Millis, limit int64) ([]byte, error) {
-	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
-		return nil, nil
-	}
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(timeout.Duration()))
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-	if r.ContentLength > limit {
-		return nil, errBodyTooLarge
-	}
-	if r.ContentLength > 0 {
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		return nil, errBodyTooLarge
-	}
-	return body, err
-}
-
 // newRequest returns the request for the engine.
 func (h *Handler) newRequest(r *http.Request, body []byte) routing.Request {
 	target := r.RequestURI
--- a/entry/frontend/limits.go
+++ b/entry/frontend/limits.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/route"
 )
@@ -80,6 +82,22 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// CloseWrite closes the sending side.
+func (c *callerConn) CloseWrite() error {
+	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return inner.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+// HeadBytes returns the limit of heads of requests under limits that may not be known yet.
+func HeadBytes(limits func() (route.Limits, bool)) int {
+	if inForce, configured := limits(); configured {
+		return positiveOr(inForce.MaxHeaderBytes(), defaultHeaderBytes)
+	}
+	return maxHeaderBytes
+}
+
 // positiveOr returns the value if it is positive, and else the fallback.
 func positiveOr[T int | clock.Millis](value, fallback T) T {
 	if value > 0 {
--- a/entry/gateway/configuration.go
+++ b/entry/gateway/configuration.go
@@ -9,7 +9,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/intake"
 	"github.com/lovagegap/lovagegap/core/replica"
+	"github.com/lovagegap/lovagegap/entry/connlimit"
 )
 
 // ErrConfiguration is returned for a process configuration that is unreadable or
@@ -35,11 +37,12 @@
 	// LifetimeS is the time in seconds for which callers may use addresses.
 	LifetimeS float64     `json:"lifetimeS"`
 	Repeats   RetryBudget `json:"repeats"`
-	// Limits, Tenants and Releases are optional.
-	Limits   ResourceLimits  `json:"limits"`
-	Tenants  TenantSettings  `json:"tenants"`
-	Releases ReleaseSettings `json:"releases"`
-	Log      LogSettings     `json:"log"`
+	// Limits, CallerLimits, Tenants and Releases are optional.
+	Limits       ResourceLimits  `json:"limits"`
+	CallerLimits CallerLimits    `json:"callerLimits"`
+	Tenants      TenantSettings  `json:"tenants"`
+	Releases     ReleaseSettings `json:"releases"`
+	Log          LogSettings     `json:"log"`
 }
 
 // ResourceLimits describes the VM of the daemon. A value of zero means unknown.
@@ -50,6 +53,17 @@
 	Cores          int     `json:"cores"`
 }
 
+// CallerLimits bounds the connections of callers. A value of zero stands for the default,
+// which follows from Limits and the configuration in force.
+type CallerLimits struct {
+	Connections           int     `json:"connections"`
+	ConnectionsPerAddress int     `json:"connectionsPerAddress"`
+	HeadLines             int     `json:"headLines"`
+	BlankLines            int     `json:"blankLines"`    // before a request
+	ChunkOverhead         int     `json:"chunkOverhead"` // framing bytes per byte of a body
+	StallMs               float64 `json:"stallMs"`       // without a byte of an answer read
+}
+
 // TenantSettings bounds the revocation of tenants' keys and the excess over their
 // fleet-wide limits. RevokeMs of zero sets no bound.
 type TenantSettings struct {
@@ -140,6 +154,10 @@
 		{"tenants.overshoot", p.Tenants.Overshoot}, {"tenants.slack", p.Tenants.Slack},
 		{"releases.exposureShare", p.Releases.ExposureShare}, {"releases.exposureSlack", p.Releases.ExposureSlack},
 		{"releases.rollbackMs", p.Releases.RollbackMs},
+		{"callerLimits.connections", float64(p.CallerLimits.Connections)},
+		{"callerLimits.connectionsPerAddress", float64(p.CallerLimits.ConnectionsPerAddress)},
+		{"callerLimits.headLines", float64(p.CallerLimits.HeadLines)}, {"callerLimits.blankLines", float64(p.CallerLimits.BlankLines)},
+		{"callerLimits.chunkOverhead", float64(p.CallerLimits.ChunkOverhead)}, {"callerLimits.stallMs", p.CallerLimits.StallMs},
 	} {
 		if number.value < 0 {
 			return errors.Wrapf(ErrConfiguration, "%s: %v must not be negative", number.field, number.value)
@@ -179,5 +197,11 @@
 		},
 		GracePeriod:     clock.Second * clock.Millis(p.GraceS),
 		AddressLifetime: clock.Second * clock.Millis(p.LifetimeS),
+		Resources:       intake.Resources{Memory: int64(p.Limits.MemoryMb * 1e6), Descriptors: p.Limits.MaxDescriptors},
+		CallerLimits: connlimit.Settings{
+			Connections: p.CallerLimits.Connections, ConnectionsPerAddress: p.CallerLimits.ConnectionsPerAddress,
+			HeadLines: p.CallerLimits.HeadLines, BlankLines: p.CallerLimits.BlankLines,
+			ChunkOverhead: p.CallerLimits.ChunkOverhead, StallTimeout: clock.Millis(p.CallerLimits.StallMs),
+		},
 	}
 }
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -28,8 +28,10 @@
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/fleet"
+	"github.com/lovagegap/lovagegap/core/intake"
 	"github.com/lovagegap/lovagegap/core/mirror"
 	"github.com/lovagegap/lovagegap/core/replica"
+	"github.com/lovagegap/lovagegap/entry/connlimit"
 	"github.com/lovagegap/lovagegap/entry/exchange"
 	"github.com/lovagegap/lovagegap/entry/frontend"
 	"github.com/lovagegap/lovagegap/entry/membership"
@@ -52,8 +54,10 @@
 	AddressLifetime clock.Millis // for which callers may use the addresses they got
 	ReplicaHeaders  exchange.HeaderNames
 	CallerHeaders   frontend.HeaderNames
-	StorePrefix     string // of the keys of the store that are mirrored
-	RegistryPrefix  string // of the keys under which daemons register in the store; empty for none
+	Resources       intake.Resources   // of the process; zero means unknown
+	CallerLimits    connlimit.Settings // of connections
+	StorePrefix     string             // of the keys of the store that are mirrored
+	RegistryPrefix  string             // of the keys under which daemons register in the store; empty for none
 }
 
 // Page is a page of a listing of the store, or a batch of its changes. More
@@ -111,6 +115,7 @@
 	hub          *peers.Hub
 	mirrorSyncer *mirrorSyncer
 	compressor   compressor
+	limiter      *connlimit.Limiter
 
 	callerListener net.Listener
 	peerListener   net.Listener
@@ -150,6 +155,10 @@
 		[][]byte{config.Key}, g.tracker, g.log.WithName("peers"))
 	g.tracker.Connect(g.hub)
 	g.mirrorSyncer = newMirrorSyncer(g)
+	g.limiter = connlimit.New(connlimit.Config{
+		Resources: connlimit.SystemResources(config.Resources), Settings: config.CallerLimits,
+		Clock: dependencies.Clock, Log: g.log.WithName("connections"),
+	})
 	var err error
 	if g.callerListener, err = net.Listen("tcp", config.CallerAddress); err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
@@ -167,6 +176,9 @@
 	return rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
 }
 
+// Limiter returns the limiter of the connections of the process, for its further listeners.
+func (g *Gateway) Limiter() *connlimit.Limiter { return g.limiter }
+
 // Ready reports whether the daemon serves callers: it has a configuration, and no
 // planned stop has begun.
 func (g *Gateway) Ready() bool { return g.ready.Load() && !g.leaving.Load() }
@@ -226,7 +238,7 @@
 	g.tracker.AddSeeds(g.config.Seeds)
 	g.serve(g.peerListener, &http.Server{
 		Handler: g.peerHandler(), ReadHeaderTimeout: 2 * time.Second, IdleTimeout: time.Minute,
-	})
+	}, connlimit.Options{Class: intake.Peers, BodyTimeout: clock.FromDuration(peerBodyTimeout)})
 	g.tasks.Go(func() { g.tracker.Run(background) })
 	g.tasks.Go(func() { g.mirrorSyncer.run(background) })
 	select {
@@ -265,14 +277,17 @@
 // serveCallers starts the server for callers.
 func (g *Gateway) serveCallers() {
 	g.callerServer = frontend.NewServer(frontend.New(g.engine, g.config.CallerHeaders, g))
-	g.serve(frontend.Listen(g.callerListener, g.engine.Limits), g.callerServer)
+	g.serve(frontend.Listen(g.callerListener, g.engine.Limits), g.callerServer, connlimit.Options{
+		Class: intake.Callers, HeadBytes: func() int { return frontend.HeadBytes(g.engine.Limits) },
+	})
 }
 
 // serve runs a server on a listener in the background until the planned stop.
-func (g *Gateway) serve(l net.Listener, server *http.Server) {
+func (g *Gateway) serve(l net.Listener, server *http.Server, options connlimit.Options) {
+	g.limiter.Prepare(server, options)
 	g.servers = append(g.servers, server)
 	g.tasks.Go(func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := server.Serve(g.limiter.Listen(l, options)); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			g.log.Error(err, "server failed", "address", l.Addr().String())
 		}
 	})
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -13,6 +13,9 @@
 	for name, value := range g.engine.Metrics() {
 		set(name, value)
 	}
+	for name, value := range g.limiter.Metrics() {
+		set(name, value)
+	}
 	states := make(map[fleet.State]int64)
 	for _, m := range g.tracker.Members() {
 		states[m.State()]++
--- a/entry/gateway/mirror_peer.go
+++ b/entry/gateway/mirror_peer.go
@@ -21,13 +21,17 @@
 	"github.com/lovagegap/lovagegap/core/mirror"
 	"github.com/lovagegap/lovagegap/core/replica"
 	"github.com/lovagegap/lovagegap/entry/codec"
+	"github.com/lovagegap/lovagegap/entry/connlimit"
 	"github.com/lovagegap/lovagegap/entry/peers"
 )
 
 const (
-	mirrorPath            = "/v1/mirror"
-	proofHeader           = "Lovagegap-Proof"
-	mirrorTimeout         = time.Second
+	mirrorPath    = "/v1/mirror"
+	proofHeader   = "Lovagegap-Proof"
+	mirrorTimeout = time.Second
+	// peerBodyTimeout is the time for the body of a request of a peer, whose own
+	// timeouts are shorter.
+	peerBodyTimeout       = 2 * time.Second
 	peerDialTimeout       = 400 * time.Millisecond
 	maxMirrorRequestBytes = 64 << 10
 	// minCompressedBytes is the least size of a reply that is compressed. Above all
@@ -163,9 +167,11 @@
 // readPeerRequest authenticates the body of a request of another daemon and decodes
 // it into request. The status is meant for the reply if there is an error.
 func (g *Gateway) readPeerRequest(c echo.Context, limit int64, request any) (status int, err error) {
-	body, err := io.ReadAll(io.LimitReader(c.Request().Body, limit))
+	body, err := connlimit.ReadBody(c.Response(), c.Request(), limit, peerBodyTimeout)
 	if err != nil {
-		return http.StatusBadRequest, err
+		status, _ = connlimit.RefusalOf(err)
+		c.Response().Header().Set(echo.HeaderConnection, "close")
+		return status, err
 	}
 	if !hmac.Equal([]byte(c.Request().Header.Get(proofHeader)), []byte(keyProof(g.config.Key, body))) {
 		return http.StatusForbidden, errors.Wrap(errPeerExchange, "request not authenticated with the deployment key")
--- a/entry/operators/operators.go
+++ b/entry/operators/operators.go
@@ -41,7 +41,9 @@
 )
 
 const (
-	maxBodySize = "2M" // of a request; a string as echo's BodyLimit takes it
+	// MaxBodyBytes is the limit of the body of a request.
+	MaxBodyBytes = 2_000_000
+	maxBodySize  = "2M" // the same as echo's BodyLimit takes it
 	// applyTimeout bounds Settings.Apply. It leaves time to resolve a lost reply
 	// of the platform by reading the document again.
 	applyTimeout = 10 * time.Second
