exchange: large replies count until they are sent

Cause: the memory of replies counted a body while it was read only. 200 callers that request 4 MB each had up to 50 MB of replies between the read and the write, and the free list of chunks kept as much again. Heads of replies shared no bound.

Change: a reply of more than 64 KiB counts until it is written to the caller. The limit follows from the memory of the VM and from what connections may hold. The free list of chunks is bounded together with what is in use. Heads of replies count in the same memory beyond 8 KiB each.

--- a/entry/body/body.go
+++ b/entry/body/body.go
@@ -14,6 +14,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -22,9 +23,9 @@
 var (
 	// ErrOversized means that a body is longer than the limit.
 	ErrOversized = errors.New("response body longer than the limit")
-	// ErrNoMemory means that the bodies that are being read take all of the memory
+	// ErrNoMemory means that the responses that are being read take all of the memory
 	// that they share.
-	ErrNoMemory = errors.New("response bodies being read exceed their memory")
+	ErrNoMemory = errors.New("responses being read exceed their memory")
 )
 
 const (
@@ -35,15 +36,16 @@
 )
 
 // Memory bounds the buffers of the bodies that are read at a time, except for
-// smallBodyBytes of each. It lends them in chunks and reuses those of bodies that
+// smallBodyBytes of each, and the heads that HeadReaders read, except for smallHeadBytes
+// of each. It lends them in chunks and reuses those of bodies that
 // were given up: left to the garbage collector, they would exceed the bound several
 // times over while replies without an end come one after the other. It is safe for
 // concurrent use.
 type Memory struct {
-	limit int64
-
 	mu     sync.Mutex
+	limit  int64
 	used   int64
+	lent   int // chunks in use
 	unused [][]byte
 }
 
@@ -57,6 +59,73 @@
 	return m.used
 }
 
+// SetLimit changes the limit. What is in use already is not affected.
+func (m *Memory) SetLimit(limit int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.limit = limit
+}
+
+// reserve adds bytes to those in use, unless the limit is reached. A nil Memory has no
+// limit.
+func (m *Memory) reserve(bytes int64) bool {
+	if m == nil {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.used+bytes > m.limit {
+		return false
+	}
+	m.used += bytes
+	m.trim()
+	return true
+}
+
+// trim leaves unused chunks to the garbage collector that exceed the limit together with
+// what is in use. The caller holds the lock.
+func (m *Memory) trim() {
+	keep := max(0, int((m.limit-m.used)/chunkBytes))
+	for i := keep; i < len(m.unused); i++ {
+		m.unused[i] = nil
+	}
+	m.unused = m.unused[:min(keep, len(m.unused))]
+}
+
+// release ends the use of bytes that reserve has added.
+func (m *Memory) release(bytes int64) {
+	if m == nil || bytes == 0 {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.used -= bytes
+}
+
+// Holding counts the bytes of a body that was read and is still needed.
+type Holding struct {
+	memory   *Memory
+	bytes    int64
+	released atomic.Bool
+}
+
+// Hold adds bytes to those in use, also beyond the limit, until the result is released.
+// While the limit is reached, further large bodies fail with ErrNoMemory.
+func (m *Memory) Hold(bytes int64) *Holding {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.used += bytes
+	m.trim()
+	return &Holding{memory: m, bytes: bytes}
+}
+
+// Release ends the use. Further calls have no effect, and a nil Holding holds nothing.
+func (h *Holding) Release() {
+	if h != nil && h.released.CompareAndSwap(false, true) {
+		h.memory.release(h.bytes)
+	}
+}
+
 // borrow returns an empty chunk, or nil if the limit is reached. A nil Memory has no
 // limit.
 func (m *Memory) borrow() []byte {
@@ -69,6 +138,7 @@
 		return nil
 	}
 	m.used += chunkBytes
+	m.lent++
 	if last := len(m.unused) - 1; last >= 0 {
 		chunk := m.unused[last]
 		m.unused[last] = nil
@@ -87,13 +157,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.used -= int64(len(chunks)) * chunkBytes
-	if m.used == 0 {
+	if m.lent -= len(chunks); m.lent == 0 {
 		m.unused = nil
 		return
 	}
 	for _, chunk := range chunks {
 		m.unused = append(m.unused, chunk[:0])
 	}
+	m.trim()
 }
 
 // Read returns the body of response. It returns ErrOversized if the body is longer
--- a/entry/body/head.go
+++ b/entry/body/head.go
@@ -9,25 +9,53 @@
 // a multiple of its bytes.
 const maxHeadLines = 256
 
-// HeadReader reads from a connection and bounds the lines of the heads on it. It is not
-// safe for concurrent use.
+const (
+	// smallHeadBytes is what each head may take without a share of a Memory.
+	smallHeadBytes = 8 << 10
+	// headLineBytes is what a line of a head takes beyond its bytes, and headByteFactor
+	// the number of copies of its bytes.
+	headLineBytes  = 256
+	headByteFactor = 2
+	// headStepBytes is the least reservation for a head.
+	headStepBytes = 16 << 10
+)
+
+// HeadReader reads from a connection and bounds the lines of the heads on it, and the
+// memory that the heads on all connections take. It is not safe for concurrent use.
 type HeadReader struct {
-	inner  io.Reader
-	inHead bool
-	lines  int // of the present head, as far as it was read
+	inner    io.Reader
+	memory   *Memory
+	inHead   bool
+	lines    int // of the present head, as far as it was read
+	bytes    int64
+	reserved int64
 }
 
 // NewHeadReader returns a reader of the connection.
 func NewHeadReader(inner io.Reader) *HeadReader { return &HeadReader{inner: inner} }
 
+// WithMemory makes heads count in a memory from the next one on, and returns the reader.
+func (h *HeadReader) WithMemory(memory *Memory) *HeadReader {
+	h.memory = memory
+	return h
+}
+
 // BeginHead is called before the head of a message is read.
-func (h *HeadReader) BeginHead() { h.inHead, h.lines = true, 0 }
+func (h *HeadReader) BeginHead() {
+	h.EndHead()
+	h.inHead, h.lines, h.bytes = true, 0, 0
+}
 
-// EndHead is called when the head is complete; what follows is not bounded.
-func (h *HeadReader) EndHead() { h.inHead = false }
+// EndHead is called when the head is complete or given up; what follows is not bounded.
+func (h *HeadReader) EndHead() {
+	h.inHead = false
+	h.memory.release(h.reserved)
+	h.reserved = 0
+}
 
 // Read implements io.Reader. It returns ErrOversized instead of further bytes of a head
-// with more lines than the limit, so one that ends within the same read may have more.
+// with more lines than the limit, so one that ends within the same read may have more. It
+// returns ErrNoMemory if the memory has no room for the head.
 func (h *HeadReader) Read(b []byte) (int, error) {
 	if h.inHead && h.lines > maxHeadLines {
 		return 0, ErrOversized
@@ -35,6 +63,14 @@
 	n, err := h.inner.Read(b)
 	if h.inHead {
 		h.lines += bytes.Count(b[:n], []byte{'\n'})
+		h.bytes += int64(n)
+		if missing := h.bytes*headByteFactor + int64(h.lines)*headLineBytes - smallHeadBytes - h.reserved; missing > 0 {
+			missing = max(missing, headStepBytes)
+			if !h.memory.reserve(missing) {
+				return 0, ErrNoMemory
+			}
+			h.reserved += missing
+		}
 	}
 	return n, err
 }
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -121,6 +121,7 @@
 	d.relayLinks = peers.New(peers.Relay, identity, configuration.peerKeys, d.relay, log)
 	resources := connlimit.SystemResources(intake.Resources{})
 	connlimit.SetMemoryLimit(resources)
+	upstreams.LimitReplyMemory(intake.NewPolicy(resources).ReplyBytes())
 	d.limiter = connlimit.New(connlimit.Config{Resources: resources, Clock: d.clock, Log: log})
 	d.control.Connect(d.controlLinks)
 	d.relay.Connect(d.relayLinks)
--- a/entry/exchange/client.go
+++ b/entry/exchange/client.go
@@ -57,12 +57,16 @@
 	}
 }
 
+// LimitReplyMemory bounds the memory of the replies that are read or sent to callers at a
+// time.
+func (c *Client) LimitReplyMemory(bytes int64) { c.memory.SetLimit(bytes) }
+
 // IgnoredRetryAfters returns the number of replies so far whose Retry-After header is
 // not a number of seconds.
 func (c *Client) IgnoredRetryAfters() int64 { return c.ignoredRetryAfters.Load() }
 
 // ReplyMemory returns the number of bytes that the replies being read occupy, without
-// the first few kilobytes of each.
+// the first few kilobytes of each, and those of large ones that were not released.
 func (c *Client) ReplyMemory() int64 { return c.memory.Used() }
 
 // Opened returns the number of connections opened so far.
@@ -92,7 +96,7 @@
 	c.mu.Lock()
 	c.opened++
 	c.mu.Unlock()
-	return newConn(inner)
+	return newConn(inner, c.memory)
 }
 
 // takeIdle returns the most recently used idle connection that is still usable, or nil,
--- a/entry/exchange/conn.go
+++ b/entry/exchange/conn.go
@@ -21,6 +21,9 @@
 	// maxReplyMemory bounds the bodies that a client reads at a time, so that replicas
 	// that send bytes without end do not use up the memory of the daemon.
 	maxReplyMemory = 32 << 20
+	// maxUnheldBytes is the size up to which a body that was read does not count in the
+	// memory of replies.
+	maxUnheldBytes = 64 << 10
 	// maxReplies bounds the replies that are read for an exchange, including skipped
 	// ones: informational replies and those to other requests.
 	maxReplies = 3
@@ -57,18 +60,24 @@
 }
 
 // newConn takes ownership of a TCP connection, also if it returns an error.
-func newConn(inner net.Conn) (*conn, error) {
+func newConn(inner net.Conn, memory *body.Memory) (*conn, error) {
 	raw, err := inner.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		_ = inner.Close()
 		return nil, err
 	}
-	c := &conn{Conn: inner, probe: socket.NewProbe(raw), head: body.NewHeadReader(inner)}
+	c := &conn{Conn: inner, probe: socket.NewProbe(raw), head: body.NewHeadReader(inner).WithMemory(memory)}
 	c.limited.R = c
 	c.reader = bufio.NewReaderSize(&c.limited, readBufferBytes)
 	return c, nil
 }
 
+// Close closes the connection and gives up the head that is being read.
+func (c *conn) Close() error {
+	c.head.EndHead()
+	return c.Conn.Close()
+}
+
 // idleLimit returns how long the connection may stay idle before it is closed.
 func (c *conn) idleLimit() clock.Millis {
 	if c.keepAlive == 0 {
@@ -112,7 +121,7 @@
 			return nil, false, errUnidentifiedReply
 		}
 		c.recordConnectionHeaders(response)
-		return x.client.newReply(response, data), !response.Close && c.reader.Buffered() == 0, nil
+		return x.client.newReply(response, data, x.spec.RequireSuccess), !response.Close && c.reader.Buffered() == 0, nil
 	}
 	return nil, false, errOtherReplies
 }
--- a/entry/exchange/exchange.go
+++ b/entry/exchange/exchange.go
@@ -17,6 +17,7 @@
 import (
 	"math"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,6 +25,7 @@
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/replica"
+	"github.com/lovagegap/lovagegap/entry/body"
 )
 
 // HeaderNames are the names of the headers between daemons and replicas.
@@ -63,16 +65,28 @@
 	body    []byte
 	seal    string
 	notices replica.Notices
+	holding *body.Holding // of a large body
 }
 
-// newReply returns the reply with the body that was read from the response.
-func (c *Client) newReply(response *http.Response, data []byte) *Reply {
-	return &Reply{
+// newReply returns the reply with the body that was read from the response. A large body
+// that is sent to a caller as it is counts in the memory until the reply is released; those
+// that are merged with others are not kept.
+func (c *Client) newReply(response *http.Response, data []byte, merged bool) *Reply {
+	r := &Reply{
 		status: response.StatusCode, header: response.Header, body: data,
 		seal: response.Header.Get(c.headers.Seal), notices: c.readNotices(response),
 	}
+	if !merged && len(data) > maxUnheldBytes {
+		r.holding = c.memory.Hold(int64(len(data)))
+		// For replies that reach no caller, such as the later one after a hedge.
+		runtime.AddCleanup(r, (*body.Holding).Release, r.holding)
+	}
+	return r
 }
 
+// Release states that the body was sent or given up. It may be called more than once.
+func (r *Reply) Release() { r.holding.Release() }
+
 // readNotices returns what the reply states about the replica. A Retry-After that is
 // not a number of seconds is ignored and counted.
 func (c *Client) readNotices(response *http.Response) replica.Notices {
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -147,6 +147,7 @@
 	var body []byte
 	switch {
 	case answer.Reply() != nil:
+		defer answer.Reply().Release()
 		body = writeReplicaHeaders(header, answer.Reply())
 	case answer.Seals() != nil:
 		h.echoRequestID(header, r)
--- a/entry/frontend/limits_test.go
+++ b/entry/frontend/limits_test.go
@@ -31,13 +31,13 @@
 
 // daemon serves callers. Once a limit is set, it has one route, without replicas.
 type daemon struct {
-	t       *testing.T
+	t       testing.TB
 	engine  *routing.Engine
 	address string
 	version uint64
 }
 
-func newDaemon(t *testing.T) *daemon {
+func newDaemon(t testing.TB) *daemon {
 	d := &daemon{t: t, engine: routing.New(routing.Dependencies{
 		Log: logr.Discard(), Names: exchange.HeaderNames{RequestID: "Id", Deadline: "Left", ExpectInstance: "Expect-Id", NotRun: "Not-Run", Seal: "Seal"},
 		Random: rand.New(rand.NewPCG(1, 2)),
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -140,11 +140,12 @@
 	self := fleet.NewMember(fleet.ID(config.PeerAddress), config.CallerAddress, config.DataCentre, config.Region,
 		uint64(time.Now().UnixMilli()))
 	g.delegates = newDelegates(dependencies.Clock, self, config.Key, deriveGenerator(dependencies.Random))
+	resources := connlimit.SystemResources(config.Resources)
 	g.engine = routing.New(routing.Dependencies{
 		Clock: dependencies.Clock, Log: g.log.WithName("routing"), DataCentre: config.DataCentre,
 		Names: config.ReplicaHeaders, Random: deriveGenerator(dependencies.Random), Budget: config.RetryBudget,
 		Meter: dependencies.Meter, LogRoutine: dependencies.LogRoutineDecision, PublishCrash: g.publishCrash,
-		PublishQuarantine: g.publishQuarantine, Delegates: g.delegates,
+		PublishQuarantine: g.publishQuarantine, Delegates: g.delegates, ReplyMemory: intake.NewPolicy(resources).ReplyBytes(),
 	})
 	g.tracker = membership.New(membership.Dependencies{
 		Clock: dependencies.Clock, Log: g.log.WithName("roster"), Self: self, Random: deriveGenerator(dependencies.Random),
@@ -156,7 +157,7 @@
 	g.tracker.Connect(g.hub)
 	g.mirrorSyncer = newMirrorSyncer(g)
 	g.limiter = connlimit.New(connlimit.Config{
-		Resources: connlimit.SystemResources(config.Resources), Settings: config.CallerLimits,
+		Resources: resources, Settings: config.CallerLimits,
 		Clock: dependencies.Clock, Log: g.log.WithName("connections"),
 	})
 	var err error
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -51,6 +51,9 @@
 	// Delegates gathers shards through daemons of other data centres; nil disables
 	// delegation.
 	Delegates Delegates
+	// ReplyMemory bounds the bytes of the replies of replicas that are read or sent to
+	// callers at a time; zero stands for the default.
+	ReplyMemory int64
 }
 
 // Meter records metrics of attempts and requests. Its methods are called under
@@ -93,6 +96,9 @@
 		admissions:   make(map[string]*dispatch.Admission),
 		running:      make(map[*call]struct{}),
 	}
+	if deps.ReplyMemory > 0 {
+		e.client.LimitReplyMemory(deps.ReplyMemory)
+	}
 	e.crashes.quarantine.SetCanaryEnabled(false)
 	e.crashes.quarantine.SetOutageSpread(outageSpread)
 	return e
--- a/entry/upstreams/conn.go
+++ b/entry/upstreams/conn.go
@@ -26,6 +26,10 @@
 // bytes without end do not use up the memory of the daemon.
 var replyMemory = body.NewMemory(maxReplyMemory)
 
+// LimitReplyMemory bounds the memory of the replies that are read at a time to less than
+// the default, for all clients of the process.
+func LimitReplyMemory(bytes int64) { replyMemory.SetLimit(min(bytes, maxReplyMemory)) }
+
 // errMalformedReply means that a reply is not valid HTTP.
 var errMalformedReply = errors.New("reply is not valid HTTP")
 
@@ -54,12 +58,18 @@
 		_ = tcp.Close()
 		return nil, err
 	}
-	c := &conn{Conn: tcp, probe: socket.NewProbe(raw), head: body.NewHeadReader(tcp)}
+	c := &conn{Conn: tcp, probe: socket.NewProbe(raw), head: body.NewHeadReader(tcp).WithMemory(replyMemory)}
 	c.limited.R = c.head
 	c.reader = bufio.NewReaderSize(&c.limited, readBufferBytes)
 	return c, nil
 }
 
+// Close closes the connection and gives up the head that is being read.
+func (c *conn) Close() error {
+	c.head.EndHead()
+	return c.Conn.Close()
+}
+
 // exchange writes a request and reads the reply. sent reports whether a byte of
 // the request may have been sent; the count that Write returns is exact on a TCP
 // socket. method is a request with the method of the exchange, which decides
