peers: a handshake message has at most 4 KiB

Cause: a link that was not authenticated yet could send a message of the size of a batch, some 300 KiB, and connections of other protocols do not yield.

Result: TestLargeHandshakeEndsLink and the tests of entry/peers and entry/membership pass.

--- a/entry/peers/handshake.go
+++ b/entry/peers/handshake.go
@@ -18,6 +18,8 @@
 	handshakeTimeout = 2 * time.Second
 	nonceSize        = 16 // bytes
 	maxIDBytes       = 128
+	// maxHandshakeBytes bounds messages of a peer that is not authenticated yet.
+	maxHandshakeBytes = 4 << 10
 )
 
 // accept runs the accepting side of the handshake and returns the identity of the
--- a/entry/peers/hub.go
+++ b/entry/peers/hub.go
@@ -92,13 +92,14 @@
 	if err != nil {
 		return
 	}
-	socket.SetReadLimit(maxBatchBytes)
+	socket.SetReadLimit(maxHandshakeBytes)
 	peer, err := accept(h.ctx, socket, h.path, h.self, h.keys)
 	if err != nil {
 		h.countIfRejected(err)
 		_ = socket.CloseNow()
 		return
 	}
+	socket.SetReadLimit(maxBatchBytes)
 	h.run(newLink(socket, peer, false))
 }
 
@@ -179,7 +180,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial %s", peer)
 	}
-	socket.SetReadLimit(maxBatchBytes)
+	socket.SetReadLimit(maxHandshakeBytes)
 	identity, err := dial(h.ctx, socket, h.path, h.self, h.keys)
 	if err == nil && identity.id != peer {
 		err = errors.Wrapf(ErrRejected, "daemon at %s identifies itself as %q", peer, identity.id)
@@ -188,6 +189,7 @@
 		_ = socket.CloseNow()
 		return nil, err
 	}
+	socket.SetReadLimit(maxBatchBytes)
 	return newLink(socket, identity, true), nil
 }
 
--- a/entry/peers/peers_test.go
+++ b/entry/peers/peers_test.go
@@ -275,6 +275,22 @@
 	}
 }
 
+// Guards against a peer that has not proved to know the key and sends a message of the size
+// that only batches may have.
+func TestLargeHandshakeEndsLink(t *testing.T) {
+	a := startDaemon(t, "", "key")
+	ctx, cancel := context.WithTimeout(context.Background(), eventTimeout)
+	defer cancel()
+	socket, _, err := websocket.Dial(ctx, "ws://"+a.address+string(peers.Control), nil)
+	require.NoError(t, err)
+	defer func() { _ = socket.CloseNow() }()
+	_, _, err = socket.Read(ctx)
+	require.NoError(t, err)
+	require.NoError(t, socket.Write(ctx, websocket.MessageBinary, make([]byte, 8<<10)))
+	_, _, err = socket.Read(ctx)
+	require.Equal(t, websocket.StatusMessageTooBig, websocket.CloseStatus(err))
+}
+
 // Guards against a link that stays open although its peer, after a valid handshake,
 // sends messages that the handler refuses.
 func TestRefusedMessageClosesLink(t *testing.T) {
