--- a/entry/connlimit/connlimit.go
+++ b/entry/connlimit/connlimit.go
@@ -20,6 +20,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -157,12 +158,8 @@
 // open returns the connection, or nil if it is refused.
 func (l *Limiter) open(inner net.Conn, o *Options) *conn {
 	c := &conn{Conn: inner, limiter: l, options: o}
-	address, _, err := net.SplitHostPort(inner.RemoteAddr().String())
-	if err != nil {
-		address = inner.RemoteAddr().String()
-	}
 	l.mu.Lock()
-	state, yielding, reason := l.account.Open(l.clock.Now(), o.Class, address, c)
+	state, yielding, reason := l.account.Open(l.clock.Now(), o.Class, callerAddress(inner.RemoteAddr()), c)
 	c.state = state
 	l.mu.Unlock()
 	for _, y := range yielding {
@@ -177,6 +174,20 @@
 	return c
 }
 
+// callerAddress returns the address that counts as that of one caller: the IPv4 address, or
+// the network of 64 bits that an IPv6 host commonly has for itself.
+func callerAddress(address net.Addr) string {
+	parsed, err := netip.ParseAddrPort(address.String())
+	if err != nil {
+		return address.String()
+	}
+	ip := parsed.Addr().Unmap()
+	if ip.Is4() {
+		return ip.String()
+	}
+	return netip.PrefixFrom(ip.WithZone(""), 64).Masked().String()
+}
+
 // report counts a refusal or close, and logs a sample.
 func (l *Limiter) report(reason intake.Reason, c *conn) {
 	now := l.clock.Now()
--- a/entry/connlimit/connlimit_test.go
+++ b/entry/connlimit/connlimit_test.go
@@ -199,6 +199,17 @@
 	assert.Equal(t, http.StatusServiceUnavailable, <-refused, "a request that yields is refused as not run")
 }
 
+// Guards against a caller that has the connections of many addresses by using those of its own
+// IPv6 network, and against an IPv4 address that counts twice.
+func TestCallerAddress(t *testing.T) {
+	for text, want := range map[string]string{
+		"192.0.2.1": "192.0.2.1", "::ffff:192.0.2.1": "192.0.2.1", "2001:db8::1": "2001:db8::/64", "2001:db8::2:3": "2001:db8::/64",
+	} {
+		assert.Equal(t, want, callerAddress(&net.TCPAddr{IP: net.ParseIP(text), Port: 9}), text)
+	}
+	assert.Equal(t, "pipe", callerAddress(&net.UnixAddr{Name: "pipe"}))
+}
+
 // textConn is the server's end of a connection on which a caller sends a text.
 type textConn struct {
 	reader *bytes.Reader
