connlimit: displaced connections count until the server has closed them

Cause: net/http keeps the goroutine and the buffers of a connection for 500 ms after the refusal of a body.

Change: the server sees the end of a refused body, and the connection itself waits for the caller to read the answer, until it is displaced. New connections are refused while half as many as may be open are displaced but not closed. Unused buffers may take what nothing is reserved of, and are dropped when nothing is.

Tests of core/intake and entry/connlimit pass under -race.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -70,6 +70,7 @@
 	index    int   // in Account.conns
 	closed   bool
 	yielding bool
+	closing  bool         // displaced, but not closed by its owner yet
 	since    clock.Millis // when the request began, or the phase if there is none
 	progress clock.Millis // when the other end last sent or read bytes
 }
@@ -89,6 +90,7 @@
 	policy    Policy
 	conns     []*Conn
 	byClass   [classCount]int
+	closing   [classCount]int // displaced and not closed by their owner yet
 	byAddress map[addressKey]int
 	held      int64 // by all connections, beyond ConnectionBytes of each
 	yielding  int64 // the part of held that yielding connections will give back
@@ -105,7 +107,19 @@
 }
 
 // Held returns the bytes that all connections hold.
-func (a *Account) Held() int64 { return a.held + int64(len(a.conns))*ConnectionBytes }
+func (a *Account) Held() int64 {
+	connections := len(a.conns)
+	for _, count := range a.closing {
+		connections += count
+	}
+	return a.held + int64(connections)*ConnectionBytes
+}
+
+// Reserved returns the bytes that are reserved beyond ConnectionBytes of each connection.
+func (a *Account) Reserved() int64 { return a.held }
+
+// Room returns the bytes that may still be reserved.
+func (a *Account) Room() int64 { return max(0, a.policy.Bytes-a.held) }
 
 // Connections returns the number of open connections of a class.
 func (a *Account) Connections(class Class) int { return a.byClass[class] }
@@ -114,6 +128,9 @@
 // nil, it is refused for the reason and must be closed.
 func (a *Account) Open(now clock.Millis, class Class, address string, handle any) (c *Conn, yielding []*Conn, reason Reason) {
 	key := addressKey{class, address}
+	if limit := a.policy.Connections[class]; a.byClass[class]+a.closing[class] >= limit+limit/2 {
+		return nil, nil, NoConnection
+	}
 	switch {
 	case a.byAddress[key] >= a.policy.PerAddress[class]:
 		yielding, reason = a.longestStalled(now, class, address), AddressConnections
@@ -123,10 +140,13 @@
 	if reason != "" && yielding == nil {
 		return nil, nil, reason
 	}
-	// The connection that yields leaves the account at once, so that the number of
-	// connections is exact. What it holds is given back when its owner closes it.
+	// The connection that yields is no longer counted as open. What it holds is given back
+	// when its owner closes it. New connections are refused while those that are displaced
+	// but not closed are half as many as may be open.
 	for _, y := range yielding {
 		a.forget(y)
+		y.closing = true
+		a.closing[class]++
 	}
 	c = &Conn{handle: handle, class: class, address: address, since: now, progress: now, index: len(a.conns)}
 	a.conns = append(a.conns, c)
@@ -286,6 +306,9 @@
 		return
 	}
 	a.forget(c)
+	if c.closing {
+		a.closing[c.class]--
+	}
 	a.hold(c, -c.held)
 	c.closed = true
 }
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -40,6 +40,29 @@
 	assert.Equal(t, 3, a.Connections(Callers), "the displaced connection was counted already")
 }
 
+// Guards against memory that displaced connections still hold while new ones come faster than
+// their owner closes them.
+func TestNewConnectionsWaitForDisplacedOnes(t *testing.T) {
+	policy := smallPolicy()
+	policy.Connections[Callers], policy.PerAddress[Callers] = 4, 4
+	a := NewAccount(policy)
+	var displaced []*Conn
+	for i := range 6 {
+		_, yielding, reason := a.Open(clock.Millis(i), Callers, "a", nil)
+		require.Empty(t, reason)
+		displaced = append(displaced, yielding...)
+	}
+	require.Len(t, displaced, 2)
+	assert.EqualValues(t, 6*ConnectionBytes, a.Held())
+	_, yielding, reason := a.Open(9, Callers, "a", nil)
+	assert.Empty(t, yielding)
+	assert.Equal(t, NoConnection, reason)
+	a.Close(displaced[0])
+	_, yielding, reason = a.Open(9, Callers, "a", nil)
+	assert.Len(t, yielding, 1)
+	assert.Empty(t, reason)
+}
+
 // Guards against one address that takes all connections, and against a request that runs
 // and is closed for a new connection.
 func TestAddressDisplacesOnlyItsOwn(t *testing.T) {
@@ -49,6 +72,7 @@
 	_, yielding, reason := a.Open(5000, Callers, "a", nil)
 	assert.Equal(t, []*Conn{first}, yielding)
 	assert.Empty(t, reason)
+	a.Close(first)
 	for _, c := range a.conns {
 		a.SetPhase(5000, c, Running)
 	}
--- a/entry/connlimit/body.go
+++ b/entry/connlimit/body.go
@@ -40,6 +40,9 @@
 	if err != nil {
 		// The server reads on for a while after a refusal.
 		_ = control.SetReadDeadline(time.Now().Add(refusalLinger))
+		if b.conn != nil && r.Header.Get("Expect") == "" {
+			b.conn.endBody(r.Body)
+		}
 		return nil, err
 	}
 	_ = control.SetReadDeadline(time.Time{})
--- a/entry/connlimit/conn.go
+++ b/entry/connlimit/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -22,6 +23,11 @@
 	refusalLinger = 250 * time.Millisecond
 	// refusalLingerBytes bounds what is read in that time.
 	refusalLingerBytes = 256 << 10
+	// lingerBufferBytes is the size of the buffer that is used for it.
+	lingerBufferBytes = 4 << 10
+	// bufferedReads is the number of reads of 512 bytes after which the server's buffer of
+	// 4 KiB is empty.
+	bufferedReads = 10
 	// coveredWriteBytes is the size up to which an answer needs no reservation.
 	coveredWriteBytes = 16 << 10
 	// writePieceBytes is what is written between two notes of progress.
@@ -55,7 +61,9 @@
 
 	mode         atomic.Int32
 	yielded      atomic.Bool
+	shutOnce     sync.Once
 	closeOnce    sync.Once
+	ended        atomic.Bool // the request was refused; nothing more is read for it
 	head         intake.Head
 	headReserved int64
 	bodyLeft     atomic.Int64 // bytes of the body and its framing; 0 is no limit
@@ -64,18 +72,59 @@
 // NetConn returns the connection that is wrapped.
 func (c *conn) NetConn() net.Conn { return c.Conn }
 
-// Close closes the connection and removes it from the account.
+// Close closes the connection and removes it from the account. The server calls it when it
+// has given up its buffers.
 func (c *conn) Close() error {
 	err := net.ErrClosed
 	c.closeOnce.Do(func() {
-		err = c.Conn.Close()
+		if c.ended.Load() {
+			_ = c.Conn.SetDeadline(time.Now().Add(refusalLinger))
+			c.linger(make([]byte, lingerBufferBytes))
+		}
+		err = c.shut()
 		c.limiter.mu.Lock()
 		defer c.limiter.mu.Unlock()
 		c.limiter.account.Close(c.state)
+		c.limiter.dropIdleBuffers()
 	})
 	return err
 }
 
+// shut closes the connection, so that the server ends its request. It stays in the account
+// until Close.
+func (c *conn) shut() error {
+	err := net.ErrClosed
+	c.shutOnce.Do(func() { err = c.Conn.Close() })
+	return err
+}
+
+// endBody makes the server see the end of a body that is not read any further. It would
+// keep the connection for half a second otherwise, also one that was displaced.
+func (c *conn) endBody(source io.Reader) {
+	c.ended.Store(true)
+	var rest [512]byte
+	for range bufferedReads {
+		if _, err := source.Read(rest[:]); err != nil {
+			return
+		}
+	}
+}
+
+// linger waits for a moment for the caller to read the answer, until the deadline. It uses b
+// as a buffer.
+func (c *conn) linger(b []byte) {
+	if c.CloseWrite() != nil {
+		return
+	}
+	for left := refusalLingerBytes; left > 0; {
+		n, err := c.Conn.Read(b)
+		if err != nil {
+			return
+		}
+		left -= n
+	}
+}
+
 // CloseWrite closes the sending side.
 func (c *conn) CloseWrite() error {
 	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -90,7 +139,7 @@
 	c.limiter.report(intake.NoMemory, c)
 	c.yielded.Store(true)
 	if c.limiter.phase(c) == intake.Writing {
-		_ = c.Close()
+		_ = c.shut()
 		return
 	}
 	_ = c.Conn.SetReadDeadline(past)
@@ -105,6 +154,9 @@
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	mode := c.mode.Load()
+	if c.ended.Load() {
+		return 0, io.EOF
+	}
 	if c.yielded.Load() {
 		return 0, c.yieldError(mode, b)
 	}
@@ -182,14 +234,8 @@
 	_ = c.Conn.SetDeadline(time.Now().Add(refusalLinger))
 	_, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\n%sConnection: close\r\nContent-Length: %d\r\n\r\n%s",
 		status, http.StatusText(status), extra, len(text), text)
-	if err == nil && c.CloseWrite() == nil {
-		for left := refusalLingerBytes; left > 0; {
-			n, err := c.Conn.Read(b)
-			if err != nil {
-				break
-			}
-			left -= n
-		}
+	if err == nil {
+		c.linger(b)
 	}
 	return errRefused
 }
--- a/entry/connlimit/connlimit.go
+++ b/entry/connlimit/connlimit.go
@@ -94,7 +94,6 @@
 	unused  int64            // bytes in buffers
 	counts  map[intake.Reason]int64
 	logged  map[intake.Reason]clock.Millis
-	keep    int64 // limit of unused
 }
 
 // New returns a limiter without connections.
@@ -109,7 +108,7 @@
 	return &Limiter{
 		settings: c.Settings, clock: c.Clock, log: c.Log, account: intake.NewAccount(policy),
 		buffers: make(map[int][][]byte), counts: make(map[intake.Reason]int64),
-		logged: make(map[intake.Reason]clock.Millis), keep: policy.Bytes / 8,
+		logged: make(map[intake.Reason]clock.Millis),
 	}
 }
 
@@ -165,7 +164,7 @@
 	for _, y := range yielding {
 		displaced := y.Handle().(*conn)
 		l.report(intake.NoConnection, displaced)
-		_ = displaced.Close()
+		_ = displaced.shut()
 	}
 	if reason != "" {
 		l.report(reason, c)
@@ -244,15 +243,29 @@
 func (l *Limiter) release(c *conn, bytes int64) {
 	l.mu.Lock()
 	l.account.Release(c.state, bytes)
+	l.dropIdleBuffers()
 	l.mu.Unlock()
 }
 
+// dropIdleBuffers leaves the unused buffers to the garbage collector when nothing is
+// reserved. The caller holds the lock.
+func (l *Limiter) dropIdleBuffers() {
+	if l.unused > 0 && l.account.Reserved() == 0 {
+		clear(l.buffers)
+		l.unused = 0
+	}
+}
+
 // takeBuffer returns an empty buffer of a capacity.
 func (l *Limiter) takeBuffer(capacity int) []byte {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	list := l.buffers[capacity]
 	if len(list) == 0 {
+		if l.unused > l.account.Room() {
+			clear(l.buffers)
+			l.unused = 0
+		}
 		return make([]byte, 0, capacity)
 	}
 	last := len(list) - 1
@@ -265,10 +278,11 @@
 
 // giveBuffer takes back a buffer to which no reference is left. Left to the garbage
 // collector, those of bodies that are given up would exceed the bound several times over.
+// Unused buffers take only what nothing is reserved of.
 func (l *Limiter) giveBuffer(buffer []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.unused+int64(cap(buffer)) > l.keep {
+	if l.unused+int64(cap(buffer)) > l.account.Room() {
 		return
 	}
 	l.unused += int64(cap(buffer))
