body: tests of the memory that heads and held bodies share

Cause: the bounds on heads and on replies that are being sent were covered by the tests of whole processes only.

Change: TestHeadsShareMemory and TestHeldBodyCountsUntilReleased.

Result: both pass with the tests of entry/body.

--- a/entry/body/body_test.go
+++ b/entry/body/body_test.go
@@ -113,3 +113,36 @@
 	assert.Zero(t, memory.Used())
 	assert.Empty(t, memory.unused, "chunks that are kept while no body is read")
 }
+
+// Guards against heads of many replies that each stay within their limits and together use
+// up the memory, and against a head that keeps its share after it was given up.
+func TestHeadsShareMemory(t *testing.T) {
+	memory := NewMemory(40 << 10)
+	read := func() (*HeadReader, error) {
+		h := NewHeadReader(endless{}).WithMemory(memory)
+		h.BeginHead()
+		_, err := h.Read(make([]byte, 10<<10))
+		return h, err
+	}
+	first, err := read()
+	require.NoError(t, err)
+	second, err := read()
+	require.NoError(t, err)
+	_, err = read()
+	require.ErrorIs(t, err, ErrNoMemory)
+	first.EndHead()
+	second.EndHead()
+	assert.Zero(t, memory.Used())
+}
+
+// Guards against a body that leaves the memory while it is still needed, or leaves it twice.
+func TestHeldBodyCountsUntilReleased(t *testing.T) {
+	memory := NewMemory(2 * chunkBytes)
+	held := memory.Hold(2 * chunkBytes)
+	_, err := Read(responseOf(-1, endless{}), maxTestBytes, memory)
+	require.ErrorIs(t, err, ErrNoMemory)
+	held.Release()
+	held.Release()
+	assert.Zero(t, memory.Used())
+	(*Holding)(nil).Release()
+}
