--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -29,10 +29,12 @@
 	"github.com/lovagegap/lovagegap/core/allowance"
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/fleet"
+	"github.com/lovagegap/lovagegap/core/intake"
 	"github.com/lovagegap/lovagegap/core/mirror"
 	"github.com/lovagegap/lovagegap/core/release"
 	"github.com/lovagegap/lovagegap/core/replica"
 	"github.com/lovagegap/lovagegap/entry/boottime"
+	"github.com/lovagegap/lovagegap/entry/connlimit"
 	"github.com/lovagegap/lovagegap/entry/exchange"
 	"github.com/lovagegap/lovagegap/entry/frontend"
 	"github.com/lovagegap/lovagegap/entry/membership"
@@ -60,6 +62,8 @@
 	StorePrefix     string       // of the keys of the store that are mirrored
 	RegistryPrefix  string       // of the keys under which daemons register in the store; empty for none
 	Releases        release.Settings
+	Resources       intake.Resources   // of the process; zero means unknown
+	CallerLimits    connlimit.Settings // of connections
 }
 
 // Page is a page of a listing of the store, or a batch of its changes. More
@@ -140,6 +144,7 @@
 	mirrorSyncer *mirrorSyncer
 	releases     *releases
 	compressor   compressor
+	limiter      *connlimit.Limiter
 
 	callerListener net.Listener
 	peerListener   net.Listener
@@ -169,12 +174,14 @@
 	g.releases = newReleases(g, self)
 	g.delegates = newDelegates(dependencies.Clock, self, config.Key, deriveGenerator(dependencies.Random))
 	g.allowances = newAllowances(dependencies.SuspendingClock, config, deriveGenerator(dependencies.Random))
+	resources := connlimit.SystemResources(config.Resources)
 	g.engine = routing.New(routing.Dependencies{
 		Clock: dependencies.Clock, Log: g.log.WithName("routing"), DataCentre: config.DataCentre,
 		SuspendingClock: dependencies.SuspendingClock, MaxProofAge: config.MaxProofAge,
 		Names: config.ReplicaHeaders, Random: deriveGenerator(dependencies.Random), Budget: config.RetryBudget,
 		Meter: dependencies.Meter, LogRoutine: dependencies.LogRoutineDecision, PublishCrash: g.publishCrash,
 		PublishQuarantine: g.publishQuarantine, Delegates: g.delegates, Allowances: g.allowances,
+		ReplyMemory: intake.NewPolicy(resources).ReplyBytes(),
 	})
 	g.tracker = membership.New(membership.Dependencies{
 		Clock: dependencies.Clock, Log: g.log.WithName("roster"), Self: self, Random: deriveGenerator(dependencies.Random),
@@ -186,6 +193,10 @@
 		[][]byte{config.Key}, g.tracker, g.log.WithName("peers"))
 	g.tracker.Connect(g.hub)
 	g.mirrorSyncer = newMirrorSyncer(g)
+	g.limiter = connlimit.New(connlimit.Config{
+		Resources: resources, Settings: config.CallerLimits,
+		Clock: dependencies.Clock, Log: g.log.WithName("connections"),
+	})
 	var err error
 	if g.callerListener, err = net.Listen("tcp", config.CallerAddress); err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
@@ -209,6 +220,9 @@
 	g.allowances.setServing(serving)
 }
 
+// Limiter returns the limiter of the connections of the process, for its further listeners.
+func (g *Gateway) Limiter() *connlimit.Limiter { return g.limiter }
+
 // Ready reports whether the daemon serves callers: it has a configuration, and no
 // planned stop has begun.
 func (g *Gateway) Ready() bool { return g.ready.Load() && !g.leaving.Load() }
@@ -268,7 +282,7 @@
 	g.tracker.AddSeeds(g.config.Seeds)
 	g.serve(g.peerListener, &http.Server{
 		Handler: g.peerHandler(), ReadHeaderTimeout: 2 * time.Second, IdleTimeout: time.Minute,
-	})
+	}, connlimit.Options{Class: intake.Peers, BodyTimeout: clock.FromDuration(peerBodyTimeout)})
 	g.tasks.Go(func() { g.tracker.Run(background) })
 	g.tasks.Go(func() { g.mirrorSyncer.run(background) })
 	g.tasks.Go(func() { g.allowances.run(background) })
@@ -311,14 +325,17 @@
 // serveCallers starts the server for callers.
 func (g *Gateway) serveCallers() {
 	g.callerServer = frontend.NewServer(frontend.New(g.engine, g.config.CallerHeaders, g))
-	g.serve(frontend.Listen(g.callerListener, g.engine.Limits), g.callerServer)
+	g.serve(frontend.Listen(g.callerListener, g.engine.Limits), g.callerServer, connlimit.Options{
+		Class: intake.Callers, HeadBytes: func() int { return frontend.HeadBytes(g.engine.Limits) },
+	})
 }
 
 // serve runs a server on a listener in the background until the planned stop.
-func (g *Gateway) serve(l net.Listener, server *http.Server) {
+func (g *Gateway) serve(l net.Listener, server *http.Server, options connlimit.Options) {
+	g.limiter.Prepare(server, options)
 	g.servers = append(g.servers, server)
 	g.tasks.Go(func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := server.Serve(g.limiter.Listen(l, options)); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			g.log.Error(err, "server failed", "address", l.Addr().String())
 		}
 	})
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -59,6 +59,9 @@
 	Delegates Delegates
 	// Allowances limits the requests of tenants; nil means no limits.
 	Allowances Allowances
+	// ReplyMemory bounds the bytes of the replies of replicas that are read or sent to
+	// callers at a time; zero stands for the default.
+	ReplyMemory int64
 }
 
 // Meter records metrics of attempts and requests. Its methods are called under
@@ -114,6 +117,9 @@
 		running:      make(map[*call]struct{}),
 		releases:     make(map[string]*releaseEvidence),
 	}
+	if deps.ReplyMemory > 0 {
+		e.client.LimitReplyMemory(deps.ReplyMemory)
+	}
 	e.crashes.quarantine.SetCanaryEnabled(false)
 	e.crashes.quarantine.SetOutageSpread(outageSpread)
 	return e
