replica: a near replica that answers late is not preferred

Cause: the own data centre was preferred up to half of the objective. With answers of 7 ms and an objective of 100 ms a replica could be six times slower, which is the greatest slowness that is counted, and still got all requests of its data centre; most of them were hedged to an idle sibling.

Change: the preference ends where answers take longer than the hedge delay, in a run of late answers that no single pause explains, or as two peers have found, and where an unanswered exchange is overdue by that delay. Messages, probes and scores stay as they are.

TestModerateLoadStaysInItsDataCentre and the other tests of core/replica, core/dispatch, entry/routing and platform pass.

--- a/core/dispatch/shard.go
+++ b/core/dispatch/shard.go
@@ -38,6 +38,7 @@
 func (q *Request) pickReplica(now clock.Millis, s *shard) (*replica.Replica, error) {
 	criteria := replica.NewCriteria(q.expectedLatency, s.tried).
 		PreferLocalWithin(q.route.Objective() * localLatencyFraction).
+		LateAfter(q.hedgeDelay()).
 		InRegions(q.route.AllowedRegions())
 	if !q.route.Idempotent() {
 		criteria = criteria.NonIdempotent()
--- a/core/replica/pick.go
+++ b/core/replica/pick.go
@@ -36,6 +36,7 @@
 type Criteria struct {
 	expected             clock.Millis // latency
 	localPreferenceLimit clock.Millis
+	lateAfter            clock.Millis // 0 for never
 	tried                []*Replica
 	among                []*Replica // nil for all
 	regions              []string   // nil or empty for all
@@ -57,6 +58,13 @@
 	return c
 }
 
+// LateAfter ends the preference of a nearer replica whose answers take at least the given
+// time, in which the caller sends a second attempt elsewhere. Zero means never.
+func (c Criteria) LateAfter(delay clock.Millis) Criteria {
+	c.lateAfter = delay
+	return c
+}
+
 // InRegions restricts the choice to replicas in the given regions. An empty list
 // allows every region. A replica whose region is unknown is in none of them.
 func (c Criteria) InRegions(regions []string) Criteria {
@@ -109,7 +117,7 @@
 			atLimit = true
 			continue
 		}
-		score := r.score(now, criteria)
+		score, latency, overdue := r.score(now, &criteria)
 		switch {
 		case r.draining():
 			if now < r.drainingSince+drainGrace {
@@ -122,16 +130,12 @@
 			// and shows when the replica is back.
 			lastResort.offer(r, score+maxBackoff+r.retryAt-now)
 		default:
-			best[r.distance].offer(r, score)
-		}
-	}
-	chosen := best[distanceCount-1]
-	for _, nearer := range slices.Backward(best[:distanceCount-1]) {
-		if nearer.replica != nil &&
-			(chosen.replica == nil || nearer.score <= max(chosen.score, criteria.preferenceLimit(now, nearer.replica))) {
-			chosen = nearer
+			if best[r.distance].offer(r, score) {
+				best[r.distance].late = criteria.late(r, latency, overdue)
+			}
 		}
 	}
+	chosen := criteria.preferNearer(now, &best)
 	switch {
 	case chosen.replica != nil:
 		return chosen.replica, nil
@@ -144,28 +148,6 @@
 	}
 }
 
-// preferenceLimit returns the score up to which a nearer replica is preferred. There is
-// no preference for one that fails: the repeat of a request is worth more than the
-// traffic that it saves.
-func (c *Criteria) preferenceLimit(now clock.Millis, r *Replica) clock.Millis {
-	if r.failureRate(now) >= maxHealthyFailureRate {
-		return 0
-	}
-	return c.localPreferenceLimit
-}
-
-// candidate is the replica with the lowest score so far.
-type candidate struct {
-	replica *Replica
-	score   clock.Millis
-}
-
-func (c *candidate) offer(r *Replica, score clock.Millis) {
-	if c.replica == nil || score < c.score {
-		c.replica, c.score = r, score
-	}
-}
-
 // distance says where a replica is relative to the daemon.
 type distance uint8
 
@@ -289,14 +271,17 @@
 	return !r.Cold(now) || r.pool.warmUpRate <= 0 || now >= r.nextColdRequestAt
 }
 
-// score estimates the time until the replica answers, with penalties and jitter.
-func (r *Replica) score(now clock.Millis, criteria Criteria) clock.Millis {
-	latency := criteria.expected * clock.Millis(r.slowness(now))
+// score estimates the time until the replica answers, with penalties and jitter. It also
+// returns the latency of recent answers, and the age of an exchange that is overdue.
+func (r *Replica) score(now clock.Millis, criteria *Criteria) (score, latency, overdue clock.Millis) {
+	slowness, failureRate := r.slowness(now), r.failureRate(now)
+	latency = criteria.expected * clock.Millis(slowness)
 	pending := float64(len(r.pending))
 	slots := float64(r.entry.Slots())
-	score := latency * clock.Millis(1+pendingPenalty*pending+max(0, pending+1-slots)/slots)
-	score += r.overdueAge(now, criteria.expected)
-	score += criteria.expected * clock.Millis(failurePenalty*r.failureRate(now))
+	score = latency * clock.Millis(1+pendingPenalty*pending+max(0, pending+1-slots)/slots)
+	overdue = r.overdueAge(now, criteria.expected)
+	score += overdue
+	score += criteria.expected * clock.Millis(failurePenalty*failureRate)
 	if now < r.sheddingUntil {
 		score += criteria.expected * sheddingPenalty
 	}
@@ -306,7 +291,7 @@
 	score += r.distance.roundTrip()
 	if criteria.nonIdempotent {
 		// Evidence counts more, because a failed attempt cannot be retried.
-		score += criteria.expected * clock.Millis(failurePenalty*r.failureRate(now)+max(0, r.slowness(now)-1))
+		score += criteria.expected * clock.Millis(failurePenalty*failureRate+max(0, slowness-1))
 	}
-	return score * clock.Millis(1+scoreJitter*r.pool.set.random.Float64())
+	return score * clock.Millis(1+scoreJitter*r.pool.set.random.Float64()), latency, overdue
 }
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -336,12 +336,13 @@
 
 // lateRun is a run of late answers without one in time between them.
 type lateRun struct {
-	count int
-	since clock.Millis // start of the first exchange
+	count   int
+	since   clock.Millis // start of the first exchange
+	lasting bool         // exchanges of the run began too far apart to have met the same pause
 }
 
-// confirms adds a sample and reports whether it ends a run of late answers to exchanges
-// that began too far apart to have met the same pause.
+// confirms adds a sample and reports whether it belongs to a run of late answers to
+// exchanges that began too far apart to have met the same pause.
 func (l *lateRun) confirms(startedAt clock.Millis, ratio float64) bool {
 	switch {
 	case ratio < lateThreshold:
@@ -351,7 +352,8 @@
 		l.since = startedAt
 	}
 	l.count++
-	return l.count > 1 && startedAt-l.since >= maxPause
+	l.lasting = l.count > 1 && startedAt-l.since >= maxPause
+	return l.lasting
 }
 
 // storeRatio puts a ratio in place of the oldest one.
