--- a/core/replica/balance_test.go
+++ b/core/replica/balance_test.go
@@ -29,7 +29,7 @@
 	objective    clock.Millis
 	rate         float64 // queries per second of the whole fleet
 	slow         float64 // share of the replicas that is 4 to 8 times slower, from slowFrom to slowTo
-	firstCentre  float64 // share of the queries that the first data centre gets; 0 for an even share
+	firstCentre  float64 // share of the queries that go to the first data centre, apart from its even share of the rest
 	duration     clock.Millis
 	reportMaxAge clock.Millis // of peers' observations
 }
