allowance: three owners per tenant, and restarts without the takeover delay

Cause: a tenant had one owner. After its loss or restart the new owner had at most 7 tokens and refilled only 3.5 s later, so that tenants below their limit got 503 or 429 for some seconds.

Change: a tenant has up to three owners, in different data centres where there are three, each with an equal part of rate and burst. A request asks the one in its own data centre first, then the others; a refusal is remembered until the owner's next token, at most 1 s. 429 needs a refusal by all owners. A process that restarts asks the other owners whether they have seen a gap, and refills at once if none has; see View.Inquiries. A member that is joining can be an owner, so that a quick restart does not change the owners.

--- a/core/allowance/ledger.go
+++ b/core/allowance/ledger.go
@@ -43,6 +43,7 @@
 	tokens float64
 	at     clock.Millis // up to which tokens have been added; in the future in a takeover
 	usedAt clock.Millis
+	start  float64 // tokens that the account began with
 	// promised is the instant up to which the refill has been named as RetryAfter.
 	promised clock.Millis
 }
@@ -104,14 +105,14 @@
 		return Reply{Unavailable: true}
 	}
 	capacity := l.capacity(tenant, limit)
-	l.refill(now, a, limit, max(capacity, l.start(tenant, limit)))
+	l.refill(now, a, limit, max(capacity, a.start))
 	a.tokens = max(a.tokens, min(capacity, a.tokens+float64(unused)))
 	if capacity < 1 || limit.rate <= 0 {
 		l.stats.Unavailable++
 		return Reply{Unavailable: true}
 	}
 	granted := min(needed, int(a.tokens))
-	spare := int(a.tokens - float64(granted) - limit.burst*extraTokensFraction)
+	spare := int(a.tokens - float64(granted) - capacity*extraTokensFraction)
 	granted += max(0, min(extra, spare))
 	a.tokens -= float64(granted)
 	l.stats.Granted += int64(granted)
@@ -141,35 +142,46 @@
 	if !owned {
 		var until clock.Millis
 		since, until, owned = l.view.ownedUntil(tenant)
-		if !owned || now-until > handoverGrace {
+		// The bucket of an owner of a short time has not been refilled.
+		if !owned || now-until > handoverGrace || until-since < takeoverDelay {
 			return nil
 		}
 	}
-	start := l.start(tenant, limit)
+	start := l.start(tenant, limit, l.view.continued(since))
 	a := l.accounts[tenant]
 	switch {
 	case a == nil:
-		a = &account{limit: limit, tokens: start, at: since + takeoverDelay}
+		a = &account{limit: limit, tokens: start, start: start, at: since + takeoverDelay}
 		l.accounts[tenant] = a
 	case a.usedAt < since: // another daemon may have owned the tenant in between
 		a.tokens = min(a.tokens, start)
+		a.start = start
 		a.at = since + takeoverDelay
+	case a.at > now && a.at > since+takeoverDelay: // the delay was ended by a confirmation
+		a.at = since + takeoverDelay
+		a.tokens += max(0, start-a.start)
+		a.start = start
 	}
 	a.usedAt = now
 	return a
 }
 
 // start returns the tokens of a new owner: its share, or one if its bucket can hold one.
-func (l *Ledger) start(tenant string, limit Limit) float64 {
-	start := l.policy.start(limit)
+func (l *Ledger) start(tenant string, limit Limit, continued bool) float64 {
+	start := l.policy.start(limit, l.view.ownerCount(), continued)
 	return max(start*l.view.seen(), min(start, l.capacity(tenant, limit), 1))
 }
 
-// capacity returns the size of the bucket: the burst times the share. Where that is less
-// than one token, as many parts of a divided fleet hold one token as a new owner may.
+// capacity returns the size of the bucket: the capacity of all owners times the share. Where that is less
+// than one token, the owners in a part of the fleet with more than half of the daemons hold
+// one token each, and in as many other parts as new owners may.
 func (l *Ledger) capacity(tenant string, limit Limit) float64 {
-	capacity := limit.burst * l.view.Share()
-	if capacity < 1 && l.view.seesLeading(tenant, int(math.Max(1, l.policy.Slack*startSlackPart))) {
+	capacity := capacity(limit, l.view.ownerCount()) * l.view.Share()
+	if capacity >= 1 {
+		return capacity
+	}
+	parts := int(math.Max(1, l.policy.Slack*startSlackPart/l.view.ownerCount()))
+	if l.view.seen() > 0.5 || l.view.seesLeading(tenant, parts) {
 		return 1
 	}
 	return capacity
--- a/core/allowance/view.go
+++ b/core/allowance/view.go
@@ -32,6 +32,13 @@
 	knownRetention = 10 * clock.Minute
 	// epochRetention is the time for which past owners and shares are remembered.
 	epochRetention = 30 * clock.Second
+	// inquiryInterval is the time after which owners that have not confirmed the
+	// continuity of this daemon are asked again.
+	inquiryInterval = 200 * clock.Millisecond
+	// standingMargin is the time before the start of a process for which it must have been
+	// alive in the view of the daemon that confirms its continuity. It covers the delay of
+	// the inquiry, in which the daemon may have seen the new process only.
+	standingMargin = clock.Second
 	// ownersResource ranks the daemons that may be owners.
 	ownersResource = "allowance/owners"
 )
@@ -46,6 +53,34 @@
 	since  clock.Millis
 	owners quota.Table
 	seen   float64 // daemons alive, as a fraction of those known
+	share  float64 // seen divided by the number of owners of a tenant
+
+	tenantOwners map[string][]string // cache of View.owners
+}
+
+// Member is a daemon that is alive.
+type Member struct{ Name, DataCentre string }
+
+// Inquiry asks a daemon whether it has seen a gap between the previous process of this
+// daemon and the present one.
+type Inquiry struct {
+	// Peer is the daemon that is asked.
+	Peer string
+	// Running is the time since the start of the process, or the end of its last pause.
+	Running clock.Millis
+
+	generation int
+}
+
+// Standing is the answer to an Inquiry.
+type Standing struct {
+	// Continuous means that the daemon has not granted tokens in place of the one that
+	// asks, and will not as long as that is alive.
+	Continuous bool
+	// Alive is the number of daemons that are alive.
+	Alive int
+	// Old means that the daemon has been running for longer than a takeover takes.
+	Old bool
 }
 
 // refill is a time in which the share of the rate did not change.
@@ -59,6 +94,7 @@
 // the fleet, as one daemon sees them. A View is not safe for concurrent use.
 type View struct {
 	self     string
+	parts    int // the largest number of owners of a tenant
 	alive    map[string]bool
 	leaving  map[string]bool         // still answer, but serve no new callers
 	lastSeen map[string]clock.Millis // of all known daemons; of those alive, when they became so
@@ -66,11 +102,23 @@
 	epochs   []epoch  // in order of time, never empty
 	refills  []refill // in order of time, never empty
 	nextDrop clock.Millis
+
+	dataCentres map[string]string       // of all daemons alive since the start
+	aliveSince  map[string]clock.Millis // of the daemons alive
+	startedAt   clock.Millis            // start of the process or end of its last pause
+	continuedAt clock.Millis            // when its continuity was confirmed, or 0
+	generation  int                     // of alive
+	confirmed   map[string]bool         // daemons that confirmed the continuity in this generation, and whether they are old
+	nextInquiry clock.Millis
 }
 
 // NewView returns a view in which no daemon is alive. The seeds count as known.
-func NewView(self string, seeds []string, now clock.Millis) *View {
-	v := &View{self: self, alive: make(map[string]bool), lastSeen: map[string]clock.Millis{self: now}}
+func NewView(policy Policy, self string, seeds []string, now clock.Millis) *View {
+	v := &View{
+		self: self, parts: policy.parts(), alive: make(map[string]bool), lastSeen: map[string]clock.Millis{self: now},
+		dataCentres: make(map[string]string), aliveSince: make(map[string]clock.Millis), startedAt: now,
+		confirmed: make(map[string]bool),
+	}
 	for _, seed := range seeds {
 		v.lastSeen[seed] = now
 	}
@@ -81,16 +129,31 @@
 }
 
 // SetAlive sets the daemons that are alive, with this one if it is.
-func (v *View) SetAlive(now clock.Millis, members []string) {
+func (v *View) SetAlive(now clock.Millis, members []Member) {
 	alive := make(map[string]bool, len(members))
 	for member := range v.alive {
 		v.lastSeen[member] = now
 	}
+	changed := len(members) != len(v.alive)
 	for _, member := range members {
-		alive[member] = true
-		v.lastSeen[member] = now
+		alive[member.Name] = true
+		v.lastSeen[member.Name] = now
+		if !v.alive[member.Name] {
+			v.aliveSince[member.Name] = now
+			changed = true
+		}
+		if v.dataCentres[member.Name] != member.DataCentre {
+			v.dataCentres[member.Name] = member.DataCentre
+			changed = true
+		}
 	}
 	v.alive = alive
+	maps.DeleteFunc(v.aliveSince, func(member string, _ clock.Millis) bool { return !alive[member] })
+	if changed {
+		v.generation++
+		v.nextInquiry = now
+		clear(v.confirmed)
+	}
 	v.update(now)
 }
 
@@ -114,6 +177,7 @@
 	maps.DeleteFunc(v.lastSeen, func(member string, seen clock.Millis) bool {
 		return !v.alive[member] && member != v.self && now-seen > knownRetention
 	})
+	maps.DeleteFunc(v.dataCentres, func(member string, _ string) bool { _, ok := v.lastSeen[member]; return !ok })
 	if len(v.lastSeen) != size {
 		v.update(now)
 	}
@@ -125,6 +189,79 @@
 	last := v.epochs[len(v.epochs)-1]
 	last.since = now
 	v.epochs = []epoch{last}
+	v.startedAt, v.continuedAt, v.nextInquiry = now, 0, now
+	v.generation++
+	clear(v.confirmed)
+}
+
+// Inquiries returns the inquiries to send now. Once all other owners have confirmed that
+// they have not replaced the previous process of this daemon, and have as many daemons
+// alive as this one, it refills its buckets without the delay of a new owner. The owners
+// must include an old one, which knows the fleet from before, or all known daemons must
+// be alive, which means that all owners have restarted.
+func (v *View) Inquiries(now clock.Millis) []Inquiry {
+	owners := v.epochs[len(v.epochs)-1].owners
+	if v.continuedAt > 0 || now-v.startedAt >= takeoverDelay || now < v.nextInquiry || !owners.Has(v.self) {
+		return nil
+	}
+	v.nextInquiry = now + inquiryInterval
+	// A daemon that knows no other one may not have found them yet.
+	if owners.Len() == 1 && now-v.startedAt > standingMargin {
+		v.confirm(now)
+	}
+	var inquiries []Inquiry
+	for _, owner := range owners.Members() {
+		if _, ok := v.confirmed[owner]; !ok && owner != v.self {
+			inquiries = append(inquiries, Inquiry{Peer: owner, Running: now - v.startedAt, generation: v.generation})
+		}
+	}
+	return inquiries
+}
+
+// Standing answers the inquiry of a daemon whose process has been running for a time.
+func (v *View) Standing(now clock.Millis, member string, running clock.Millis) Standing {
+	since, alive := v.aliveSince[member]
+	refillsAt := v.startedAt + takeoverDelay
+	if v.continuedAt > 0 {
+		refillsAt = v.continuedAt
+	}
+	return Standing{
+		// What this daemon granted as the owner before its buckets refilled is a start value.
+		Continuous: alive && (since <= now-running-standingMargin || since <= refillsAt),
+		Alive:      len(v.alive), Old: now-v.startedAt > takeoverDelay,
+	}
+}
+
+// HandleStanding handles the answer to an inquiry.
+func (v *View) HandleStanding(now clock.Millis, inquiry Inquiry, standing Standing) {
+	if inquiry.generation == v.generation && standing.Continuous && standing.Alive == len(v.alive) {
+		v.confirmed[inquiry.Peer] = standing.Old
+		v.confirm(now)
+	}
+}
+
+// confirm ends the delay of a new owner if all other owners have confirmed the continuity.
+func (v *View) confirm(now clock.Millis) {
+	last := v.epochs[len(v.epochs)-1]
+	if v.continuedAt > 0 || len(v.confirmed) < last.owners.Len()-1 {
+		return
+	}
+	complete := len(v.alive) == v.known.Len()
+	for _, old := range v.confirmed {
+		complete = complete || old
+	}
+	if complete {
+		v.continuedAt = now
+		last.since = now - takeoverDelay
+		v.epochs = []epoch{last}
+		v.updateShare(now)
+	}
+}
+
+// continued reports whether this daemon owns tenants since its continuity was confirmed,
+// if it owns them since the given instant.
+func (v *View) continued(since clock.Millis) bool {
+	return v.continuedAt > 0 && since <= v.continuedAt-takeoverDelay
 }
 
 // update begins a new epoch if the owners or the daemons alive have changed.
@@ -133,24 +270,67 @@
 		v.known = quota.NewTable(slices.Collect(maps.Keys(v.lastSeen)))
 	}
 	members := quota.NewTable(slices.Collect(maps.Keys(v.alive)))
-	owners := quota.NewTable(members.Leading(ownersResource, maxOwners(members.Len())))
+	ranked := members.Leading(ownersResource, members.Len())
+	count := maxOwners(len(ranked))
+	owners := quota.NewTable(v.spread(ranked, count, (count+v.countDataCentres(ranked)-1)/max(1, v.countDataCentres(ranked))))
 	seen := float64(members.Len()) / float64(max(1, v.known.Len()))
 	last := v.epochs[len(v.epochs)-1]
 	if last.seen == seen && slices.Equal(last.owners.Members(), owners.Members()) {
 		return
 	}
-	v.epochs = append(v.epochs, epoch{since: now, owners: owners, seen: seen})
+	share := seen / float64(max(1, min(v.parts, owners.Len())))
+	v.epochs = append(v.epochs, epoch{since: now, owners: owners, seen: seen, share: share, tenantOwners: make(map[string][]string)})
 	for len(v.epochs) > 1 && now-v.epochs[1].since > epochRetention {
 		v.epochs = v.epochs[1:]
 	}
 	v.updateShare(now)
 }
 
-// updateShare sets the share to the least fraction of daemons alive within riseDelay.
+// countDataCentres returns the number of data centres of the daemons.
+func (v *View) countDataCentres(members []string) int {
+	dataCentres := make(map[string]bool)
+	for _, member := range members {
+		dataCentres[v.dataCentres[member]] = true
+	}
+	return len(dataCentres)
+}
+
+// spread returns the first count of the ranked daemons of which no data centre has more
+// than perDataCentre, and fills up with the first others if these are fewer.
+func (v *View) spread(ranked []string, count, perDataCentre int) []string {
+	var chosen, others []string
+	used := make(map[string]int)
+	for _, member := range ranked {
+		dataCentre := v.dataCentres[member]
+		if used[dataCentre]++; used[dataCentre] > perDataCentre {
+			others = append(others, member)
+		} else if chosen = append(chosen, member); len(chosen) == count {
+			return chosen
+		}
+	}
+	return append(chosen, others[:min(count-len(chosen), len(others))]...)
+}
+
+// owners returns the owners of a tenant in an epoch, in order of rank.
+func (v *View) owners(e epoch, tenant string) []string {
+	owners, ok := e.tenantOwners[tenant]
+	if !ok && e.owners.Len() > 0 {
+		owners = v.spread(e.owners.Leading(tenant, e.owners.Len()), v.parts, 1)
+		e.tenantOwners[tenant] = owners
+	}
+	return owners
+}
+
+// owns reports whether this daemon is an owner of a tenant in an epoch.
+func (v *View) owns(e epoch, tenant string) bool {
+	return e.owners.Has(v.self) && slices.Contains(v.owners(e, tenant), v.self)
+}
+
+// updateShare sets the share to the least of those within riseDelay.
 func (v *View) updateShare(now clock.Millis) {
 	share := 1.0
 	for i := len(v.epochs) - 1; i >= 0; i-- {
-		share = min(share, v.epochs[i].seen)
+		share = min(share, v.epochs[i].share)
 		if v.epochs[i].since <= now-riseDelay {
 			break
 		}
@@ -173,12 +353,17 @@
 	return true
 }
 
-// Share returns the share of the rate that an owner may grant, 0 to 1.
+// Share returns the share of the rate that one owner may grant, 0 to 1.
 func (v *View) Share() float64 { return v.refills[len(v.refills)-1].share }
 
 // seen returns the daemons alive as a fraction of those known.
 func (v *View) seen() float64 { return v.epochs[len(v.epochs)-1].seen }
 
+// ownerCount returns the number of owners of a tenant.
+func (v *View) ownerCount() float64 {
+	return float64(max(1, min(v.parts, v.epochs[len(v.epochs)-1].owners.Len())))
+}
+
 // Known returns the number of daemons among which limits are divided.
 func (v *View) Known() int { return v.known.Len() }
 
@@ -196,10 +381,12 @@
 	return v.refills[0].weight
 }
 
-// Owner returns the daemon from which tokens of the tenant are requested, or "".
-func (v *View) Owner(now clock.Millis, tenant string) string {
+// TenantOwners returns the daemons from which tokens of the tenant are requested, at most
+// as many as a tenant has owners: the one in the data centre of this daemon first, then by
+// rank. While the owners change, the previous ones are preferred as long as they answer.
+func (v *View) TenantOwners(now clock.Millis, tenant string) []string {
 	i := len(v.epochs) - 1
-	owner := v.epochs[i].owners.First(tenant)
+	owners := slices.Clone(v.owners(v.epochs[i], tenant))
 	for ; i > 0 && now-v.epochs[i].since < switchDelay; i-- {
 		previous := v.epochs[i-1]
 		// The owners of a short time, as after the start of the process, have little
@@ -207,17 +394,33 @@
 		if v.epochs[i].since-previous.since < takeoverDelay {
 			continue
 		}
-		if before := previous.owners.First(tenant); v.alive[before] || v.leaving[before] {
-			return before
+		before := slices.DeleteFunc(slices.Clone(v.owners(previous, tenant)), func(owner string) bool {
+			return !v.alive[owner] && !v.leaving[owner]
+		})
+		for _, owner := range owners {
+			if !slices.Contains(before, owner) && len(before) < v.parts {
+				before = append(before, owner)
+			}
 		}
+		owners = before
 		break
 	}
-	return owner
+	own := v.dataCentres[v.self]
+	slices.SortStableFunc(owners, func(a, b string) int {
+		switch aNear, bNear := v.dataCentres[a] == own, v.dataCentres[b] == own; {
+		case aNear == bNear:
+			return 0
+		case aNear:
+			return -1
+		}
+		return 1
+	})
+	return owners
 }
 
-// ownedSince returns since when this daemon owns the tenant.
+// ownedSince returns since when this daemon is an owner of the tenant.
 func (v *View) ownedSince(tenant string) (since clock.Millis, ok bool) {
-	for i := len(v.epochs) - 1; i >= 0 && v.epochs[i].owners.First(tenant) == v.self; i-- {
+	for i := len(v.epochs) - 1; i >= 0 && v.owns(v.epochs[i], tenant); i-- {
 		since, ok = v.epochs[i].since, true
 	}
 	return since, ok
@@ -227,7 +430,7 @@
 // and since when it had owned it.
 func (v *View) ownedUntil(tenant string) (since, until clock.Millis, ok bool) {
 	for i := len(v.epochs) - 1; i >= 0; i-- {
-		if v.epochs[i].owners.First(tenant) == v.self {
+		if v.owns(v.epochs[i], tenant) {
 			since, ok = v.epochs[i].since, true
 		} else if ok {
 			break
--- a/core/allowance/wallet.go
+++ b/core/allowance/wallet.go
@@ -19,11 +19,22 @@
 	// maxNeeded bounds the tokens of one call.
 	maxNeeded = 1000
 	// silenceDuration is the time for which requests don't wait for an owner that has
-	// failed to answer in time. Calls still go out in it and end it.
+	// failed to answer in time. Once no other owner is left, calls still go out in it
+	// and end it.
 	silenceDuration = 250 * clock.Millisecond
-	// maxLocalRefusal bounds the time in which requests are refused on the owner's last
-	// word, in parts of the lifetime of a token.
-	maxLocalRefusal = 0.25
+	probeInterval   = 20 * clock.Millisecond
+	// maxWait is the time for which a request waits for the owners of its tenant. They
+	// answer within 2 ms in a healthy network; requests with 50 ms in all must have time
+	// left if they don't.
+	maxWait = 15 * clock.Millisecond
+	// maxOwnerWait is the part of it after which the next owner is asked.
+	maxOwnerWait = 5 * clock.Millisecond
+	// maxRefusalMemory bounds the time for which the refusal of an owner is remembered. The
+	// owner of a small tenant states up to some ten seconds, in which it may be replaced.
+	maxRefusalMemory = clock.Second
+	// unavailableMemory is the time for which an owner is not asked again after it could
+	// not grant tokens.
+	unavailableMemory = 50 * clock.Millisecond
 	// unavailableRetryAfter is the time after which a request should be retried if the
 	// limit is not known to be reached.
 	unavailableRetryAfter = 100 * clock.Millisecond
@@ -43,7 +54,8 @@
 	Granted Kind = iota + 1
 	// LimitReached means that the tenant has used its allowance.
 	LimitReached
-	// Unavailable means that the owner did not answer and the reserve is used up.
+	// Unavailable means that an owner did not answer, the others have refused and the
+	// reserve is used up.
 	Unavailable
 	// Pending means that the request waits for the reply to a call.
 	Pending
@@ -84,6 +96,8 @@
 	tenant     string
 	limit      Limit
 	waitsFor   *Call
+	waitUntil  clock.Millis
+	deadline   clock.Millis // end of the time for which the request may wait
 	call       *Call
 }
 
@@ -99,6 +113,18 @@
 // WaitsFor returns the call whose end a pending request waits for.
 func (d Decision) WaitsFor() *Call { return d.waitsFor }
 
+// WaitUntil returns the instant at which a pending request must be resumed if its call has
+// not ended by then.
+func (d Decision) WaitUntil() clock.Millis { return d.waitUntil }
+
+// refusal is the last word of an owner.
+type refusal struct {
+	limit       Limit
+	until       clock.Millis // the owner is not asked before
+	retryAt     clock.Millis
+	unavailable bool // the limit is not known to be reached
+}
+
 // batch is the tokens of one call.
 type batch struct {
 	tokens int
@@ -107,17 +133,16 @@
 
 // purse holds the tokens of one tenant.
 type purse struct {
-	batches      []batch      // in order of time
-	unused       int          // tokens to return with the next call
-	unusedFrom   clock.Millis // when the call for the oldest of them was sent
-	spentFrom    clock.Millis // when the call for the token spent last was sent
-	call         *Call        // not ended
-	waiting      int          // requests that need a token and aren't counted in call
-	demand       float64      // requests per demandMemory
-	usedAt       clock.Millis
-	refusedUntil clock.Millis // by the owner's last word
-	retryAfter   clock.Millis // with it
-	reserve      []clock.Millis
+	batches    []batch      // in order of time
+	unused     int          // tokens to return with the next call
+	unusedFrom clock.Millis // when the call for the oldest of them was sent
+	spentFrom  clock.Millis // when the call for the token spent last was sent
+	call       *Call        // not ended, and the one that requests which arrive wait for
+	waiting    int          // requests that need a token and aren't counted in call
+	demand     float64      // requests per demandMemory
+	usedAt     clock.Millis
+	refusals   map[string]refusal // by owner
+	reserve    []clock.Millis
 }
 
 // Wallet decides on the requests of one daemon. A Wallet is not safe for concurrent
@@ -128,6 +153,7 @@
 	random      *rand.Rand
 	purses      map[string]*purse
 	silentUntil map[string]clock.Millis // by owner
+	nextProbe   map[string]clock.Millis // by owner
 	startedAt   clock.Millis
 	nextSweep   clock.Millis
 	stats       WalletStats
@@ -146,7 +172,7 @@
 func NewWallet(policy Policy, view *View, random *rand.Rand, now clock.Millis) *Wallet {
 	return &Wallet{
 		policy: policy, view: view, random: random, purses: make(map[string]*purse),
-		silentUntil: make(map[string]clock.Millis), startedAt: now,
+		silentUntil: make(map[string]clock.Millis), nextProbe: make(map[string]clock.Millis), startedAt: now,
 	}
 }
 
@@ -175,35 +201,66 @@
 	}
 	p.demand = p.demand*math.Exp(-float64((now-p.usedAt)/demandMemory)) + 1
 	p.usedAt = now
-	d := Decision{tenant: tenant, limit: limit}
+	d := Decision{tenant: tenant, limit: limit, deadline: now + maxWait}
 	if w.spend(now, p) {
 		return w.granted(d)
 	}
-	if now < p.refusedUntil {
-		// The owner has named its refill to others meanwhile.
-		spread := clock.Millis(w.random.Float64()) * p.retryAfter
-		return w.refused(d, min(p.refusedUntil-now+spread, w.policy.Window))
-	}
-	return w.wait(now, p, d)
+	return w.wait(now, p, d, 0)
 }
 
-// wait makes the request wait for a call, unless the owner is silent.
-func (w *Wallet) wait(now clock.Millis, p *purse, d Decision) Decision {
-	owner := w.view.Owner(now, d.tenant)
-	if owner == "" {
+// wait makes the request wait for a call to the first owner that may have tokens, and
+// decides on it if there is none. Promised is the time until the token that an owner has
+// just promised to the request, or 0.
+func (w *Wallet) wait(now clock.Millis, p *purse, d Decision, promised clock.Millis) Decision {
+	owners := w.view.TenantOwners(now, d.tenant)
+	next, last, silent := "", true, ""
+	unreachable := len(owners) == 0
+	retryAt := now + w.policy.Window
+	for _, owner := range owners {
+		r, ok := p.refusals[owner]
+		switch {
+		case now < w.silentUntil[owner]:
+			unreachable = true
+			if silent == "" {
+				silent = owner
+			}
+		case ok && now < r.until && r.limit == d.limit:
+			unreachable = unreachable || r.unavailable
+			retryAt = min(retryAt, r.retryAt)
+		case next == "":
+			next = owner
+		default:
+			last = false
+		}
+	}
+	if p.call != nil && now < w.silentUntil[p.call.owner] {
+		p.call = nil // its tokens are used if it is answered
+	}
+	switch {
+	case next != "" && now < d.deadline:
+	case !unreachable && next == "":
+		if promised == 0 {
+			// The owners have named their refill to others meanwhile.
+			promised = max(0, retryAt-now) * clock.Millis(1+w.random.Float64())
+		}
+		return w.refused(d, min(promised, w.policy.Window))
+	default:
+		if next == "" && silent != "" && now >= w.nextProbe[silent] {
+			// A reply ends the silence.
+			w.nextProbe[silent] = now + probeInterval
+			d.call = w.newCall(now, silent, p, d)
+			p.call = nil
+		}
 		return w.fallback(now, p, d)
 	}
 	p.waiting++
 	if p.call == nil {
-		d.call = w.newCall(now, owner, p, d)
+		d.call = w.newCall(now, next, p, d)
 	}
-	if now < w.silentUntil[p.call.owner] {
-		p.waiting = max(0, p.waiting-1)
-		fallback := w.fallback(now, p, d)
-		fallback.call = d.call
-		return fallback
+	d.kind, d.waitsFor, d.waitUntil = Pending, p.call, d.deadline
+	if !last {
+		d.waitUntil = min(d.deadline, now+maxOwnerWait)
 	}
-	d.kind, d.waitsFor = Pending, p.call
 	return d
 }
 
@@ -228,6 +285,7 @@
 	delete(w.silentUntil, call.owner)
 	if reply.Unavailable {
 		w.stats.Failures++
+		p.refuse(call, refusal{limit: call.limit, until: now + unavailableMemory, retryAt: now + unavailableRetryAfter, unavailable: true})
 		return
 	}
 	if reply.Granted > 0 {
@@ -236,11 +294,19 @@
 		p.batches = append(p.batches, batch{tokens: reply.Granted, sentAt: call.sentAt})
 	}
 	if reply.Granted < call.needed {
-		p.refusedUntil = now + min(reply.NextIn, w.policy.Lifetime()*maxLocalRefusal)
-		p.retryAfter = reply.RetryAfter
+		p.refuse(call, refusal{limit: call.limit, until: now + min(reply.NextIn, maxRefusalMemory), retryAt: now + reply.RetryAfter})
+	} else {
+		delete(p.refusals, call.owner)
 	}
 }
 
+func (p *purse) refuse(call *Call, r refusal) {
+	if p.refusals == nil {
+		p.refusals = make(map[string]refusal)
+	}
+	p.refusals[call.owner] = r
+}
+
 // HandleFailure handles a call that got no reply.
 func (w *Wallet) HandleFailure(now clock.Millis, call *Call) {
 	w.end(call)
@@ -265,7 +331,7 @@
 
 // Resume decides on a pending request, once its call has ended or the time for which it
 // may wait is over. The decision is Pending again if the call was sent before the
-// request arrived and granted too little for it.
+// request arrived and granted too little for it, or if another owner is asked.
 func (w *Wallet) Resume(now clock.Millis, d Decision) Decision {
 	call := d.waitsFor
 	p := w.purses[d.tenant]
@@ -277,19 +343,14 @@
 		p.waiting = max(0, p.waiting-1)
 	}
 	d.call = nil
-	switch {
-	case w.spend(now, p):
+	if w.spend(now, p) {
 		return w.granted(d)
-	case !call.ended:
+	}
+	if !call.ended {
 		w.stats.Timeouts++
 		w.silentUntil[call.owner] = now + silenceDuration
-		return w.fallback(now, p, d)
-	case call.failed:
-		return w.fallback(now, p, d)
-	case call.reply.Granted < call.needed:
-		return w.refused(d, call.reply.RetryAfter)
 	}
-	return w.wait(now, p, d)
+	return w.wait(now, p, d, call.reply.RetryAfter)
 }
 
 // Abandon ends a pending request whose caller has left.
@@ -376,4 +437,7 @@
 	maps.DeleteFunc(w.purses, func(_ string, p *purse) bool {
 		return now-p.usedAt > purseRetention && p.call == nil
 	})
+	for _, until := range []map[string]clock.Millis{w.silentUntil, w.nextProbe} {
+		maps.DeleteFunc(until, func(_ string, at clock.Millis) bool { return now > at })
+	}
 }
--- a/entry/gateway/allowances.go
+++ b/entry/gateway/allowances.go
@@ -29,10 +29,7 @@
 	allowanceTickInterval  = 250 * time.Millisecond
 	allowanceIdleTimeout   = 50 * time.Second // below that of the peers' server
 	maxAllowanceConnsPerID = 4
-	// maxAllowanceWait is the time for which a request waits for the owner of its tenant.
-	// The owner answers within 2 ms in a healthy network; requests with 50 ms in all
-	// must have time left if it doesn't.
-	maxAllowanceWait = 15 * time.Millisecond
+	standingPath           = "/v1/allowance-standing"
 )
 
 // defaultAllowancePolicy is that of a process configuration without tenants.windowS.
@@ -82,6 +79,20 @@
 	}
 }
 
+// standingRequest asks an owner whether it has replaced the daemon that asks, see
+// allowance.Inquiry.
+type standingRequest struct {
+	Daemon    string  `cbor:"1,keyasint"`
+	RunningMs float64 `cbor:"2,keyasint"`
+}
+
+// standingReply is the reply. The fields are those of allowance.Standing.
+type standingReply struct {
+	Continuous bool `cbor:"1,keyasint,omitempty"`
+	Alive      int  `cbor:"2,keyasint,omitempty"`
+	Old        bool `cbor:"3,keyasint,omitempty"`
+}
+
 // validMillis returns the duration, or 0 if it is not one.
 func validMillis(ms float32) clock.Millis {
 	if !(ms >= 0 && float64(ms) <= float64(clock.Hour)) {
@@ -113,7 +124,7 @@
 		policy = defaultAllowancePolicy
 	}
 	now := c.Now()
-	view := allowance.NewView(config.PeerAddress, config.Seeds, now)
+	view := allowance.NewView(policy, config.PeerAddress, config.Seeds, now)
 	return &allowances{
 		clock: c, self: config.PeerAddress, key: config.Key,
 		view: view, ledger: allowance.NewLedger(policy, view, now), wallet: allowance.NewWallet(policy, view, random, now),
@@ -142,19 +153,39 @@
 			a.mu.Lock()
 			a.ledger.Tick(a.clock.Now())
 			a.mu.Unlock()
+			a.inquire()
 		}
 	}
 }
 
-// setServing sets the members that serve callers.
-func (a *allowances) setServing(serving []fleet.Member) {
-	members := make([]string, len(serving))
-	for i, m := range serving {
-		members[i] = string(m.ID())
+// setAvailable sets the members that answer peers and are not about to stop.
+func (a *allowances) setAvailable(available []fleet.Member) {
+	members := make([]allowance.Member, len(available))
+	for i, m := range available {
+		members[i] = allowance.Member{Name: string(m.ID()), DataCentre: m.DataCentre()}
 	}
 	a.mu.Lock()
-	defer a.mu.Unlock()
 	a.view.SetAlive(a.clock.Now(), members)
+	a.mu.Unlock()
+	a.inquire()
+}
+
+// inquire sends the inquiries that are due.
+func (a *allowances) inquire() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, inquiry := range a.view.Inquiries(a.clock.Now()) {
+		go func() {
+			var reply standingReply
+			err := a.post(inquiry.Peer+standingPath, standingRequest{Daemon: a.self, RunningMs: float64(inquiry.Running)}, &reply)
+			if err != nil {
+				return // asked again
+			}
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			a.view.HandleStanding(a.clock.Now(), inquiry, allowance.Standing(reply))
+		}()
+	}
 }
 
 // setLeaving sets the members that are about to stop.
@@ -168,22 +199,18 @@
 func (a *allowances) Take(ctx context.Context, tenant *route.Tenant) routing.Grant {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var timeout <-chan time.Time
 	decision := a.start(a.wallet.Take(a.clock.Now(), tenant.Name(), allowance.NewLimit(tenant.Rate(), tenant.Burst())))
 	for decision.Kind() == allowance.Pending {
 		// The channel is missing if the call ended while it was started.
 		if ended, ok := a.ended[decision.WaitsFor()]; ok {
-			if timeout == nil {
-				timer := time.NewTimer(maxAllowanceWait)
-				defer timer.Stop()
-				timeout = timer.C
-			}
+			timer := time.NewTimer((decision.WaitUntil() - a.clock.Now()).Duration())
 			a.mu.Unlock()
 			select {
 			case <-ended:
-			case <-timeout:
+			case <-timer.C:
 			case <-ctx.Done():
 			}
+			timer.Stop()
 			a.mu.Lock()
 			if ctx.Err() != nil {
 				a.wallet.Abandon(decision)
@@ -237,21 +264,27 @@
 }
 
 func (a *allowances) fetch(call *allowance.Call) (allowance.Reply, error) {
-	// The client has a time-out. Other requests use the tokens if the caller leaves.
-	body, err := postToPeer(context.Background(), a.client, a.key, call.Owner()+allowancePath, allowanceRequest{
+	var reply allowanceReply
+	err := a.post(call.Owner()+allowancePath, allowanceRequest{
 		Tenant: call.Tenant(), Rate: call.Limit().Rate(), Burst: call.Limit().Burst(),
 		Needed: call.Needed(), Extra: call.Extra(), Unused: call.Unused(),
-	})
+	}, &reply)
+	return reply.toCore(), err
+}
+
+// post sends a request to a peer and decodes the reply.
+func (a *allowances) post(address string, request, reply any) error {
+	// The client has a time-out. Other requests use the tokens if the caller leaves.
+	body, err := postToPeer(context.Background(), a.client, a.key, address, request)
 	if err != nil {
-		return allowance.Reply{}, err
+		return err
 	}
 	defer body.Close()
-	var reply allowanceReply
 	text, err := io.ReadAll(io.LimitReader(body, maxAllowanceBytes))
-	if err == nil {
-		err = codec.Decode(text, &reply)
+	if err != nil {
+		return err
 	}
-	return reply.toCore(), err
+	return codec.Decode(text, reply)
 }
 
 // grant answers a call of another daemon.
@@ -282,6 +315,29 @@
 	return c.Blob(http.StatusOK, mimeCBOR, body)
 }
 
+// handleStanding answers the inquiry of another daemon.
+func (g *Gateway) handleStanding(c echo.Context) error {
+	var request standingRequest
+	status, err := g.readPeerRequest(c, maxAllowanceBytes, &request)
+	if err == nil && !(request.RunningMs >= 0 && request.RunningMs <= math.MaxFloat32) {
+		status, err = http.StatusBadRequest, errors.Wrapf(errPeerExchange, "inquiry after %v ms", request.RunningMs)
+	}
+	if err != nil {
+		return c.String(status, err.Error())
+	}
+	body, err := codec.Encode(g.allowances.standing(request))
+	if err != nil {
+		return err
+	}
+	return c.Blob(http.StatusOK, mimeCBOR, body)
+}
+
+func (a *allowances) standing(r standingRequest) standingReply {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return standingReply(a.view.Standing(a.clock.Now(), r.Daemon, clock.Millis(r.RunningMs)))
+}
+
 // metrics returns the gauges of the allowances.
 func (a *allowances) metrics() map[string]int64 {
 	a.mu.Lock()
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -157,8 +157,8 @@
 	g.tracker = membership.New(membership.Dependencies{
 		Clock: dependencies.Clock, Log: g.log.WithName("roster"), Self: self, Random: deriveGenerator(dependencies.Random),
 		DaemonCountChanged: g.engine.SetDaemonCount, SourcesChanged: func(peers []string) { g.mirrorSyncer.setSources(peers) },
-		RegionsChanged: g.engine.SetRegions, ServingChanged: g.setServing,
-		LeavingChanged: g.allowances.setLeaving, RecordAccepted: g.handleRecord,
+		RegionsChanged: g.engine.SetRegions, ServingChanged: g.delegates.setServing,
+		AvailableChanged: g.allowances.setAvailable, LeavingChanged: g.allowances.setLeaving, RecordAccepted: g.handleRecord,
 	})
 	g.hub = peers.New(peers.Control, peers.NewIdentity(config.PeerAddress, self.Incarnation()),
 		[][]byte{config.Key}, g.tracker, g.log.WithName("peers"))
@@ -181,12 +181,6 @@
 	return rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
 }
 
-// setServing passes on the members that serve callers.
-func (g *Gateway) setServing(serving []fleet.Member) {
-	g.delegates.setServing(serving)
-	g.allowances.setServing(serving)
-}
-
 // Ready reports whether the daemon serves callers: it has a configuration, and no
 // planned stop has begun.
 func (g *Gateway) Ready() bool { return g.ready.Load() && !g.leaving.Load() }
--- a/entry/gateway/mirror_peer.go
+++ b/entry/gateway/mirror_peer.go
@@ -129,6 +129,7 @@
 	e.GET(string(peers.Control), echo.WrapHandler(g.hub))
 	e.POST(gatherPath, g.handleGather)
 	e.POST(allowancePath, g.handleAllowance)
+	e.POST(standingPath, g.handleStanding)
 	e.POST(mirrorPath, func(c echo.Context) error {
 		var request mirrorRequest
 		if status, err := g.readPeerRequest(c, maxMirrorRequestBytes, &request); err != nil {
--- a/entry/membership/membership.go
+++ b/entry/membership/membership.go
@@ -58,6 +58,9 @@
 	RegionsChanged func(regions map[string]string)
 	// ServingChanged gets the members that serve callers. It must not keep the slice.
 	ServingChanged func(members []fleet.Member)
+	// AvailableChanged gets the members that answer peers and are not about to stop,
+	// whether they serve callers yet or not; nil ignores them.
+	AvailableChanged func(members []fleet.Member)
 	// LeavingChanged gets the ids of the members that are about to stop, before
 	// ServingChanged is called; nil ignores them.
 	LeavingChanged func(members []string)
@@ -192,7 +195,11 @@
 	t.updateRegions(members)
 	t.serving = t.serving[:0]
 	var leaving []string
+	var available []fleet.Member
 	for _, m := range members {
+		if m.Alive() || m.State() == fleet.Joining {
+			available = append(available, m)
+		}
 		switch {
 		case m.Alive() && m.CallerAddress() != "":
 			t.serving = append(t.serving, m)
@@ -206,6 +213,9 @@
 	if t.deps.LeavingChanged != nil {
 		t.deps.LeavingChanged(leaving)
 	}
+	if t.deps.AvailableChanged != nil {
+		t.deps.AvailableChanged(available)
+	}
 	t.directory.SetMembers(t.serving)
 	t.deps.ServingChanged(t.serving)
 	t.updateLastServed()
