routing: the wait for a tenant's allowance counts into the caller's time

Cause: call.submittedAt was set in start(), after the wait for tokens, so that the answer to a request that waited was planned as much too late.

Change: it is set before Allowances.Take.

--- a/entry/routing/allowances.go
+++ b/entry/routing/allowances.go
@@ -47,10 +47,10 @@
 }
 
 // takeAllowance requests permission for a request of a tenant with a limit, and takes
-// the time that this needs off the deadline. Without permission it returns the refusal
+// the time that this needs off the deadline. It counts into the caller's time. Without permission it returns the refusal
 // and false.
 func (e *Engine) takeAllowance(ctx context.Context, r *route.Route, request *Request) (Answer, bool) {
-	began := e.deps.Clock.Now()
+	request.submittedAt = e.deps.Clock.Now()
 	grant := e.deps.Allowances.Take(ctx, request.Tenant)
 	switch {
 	case !grant.Granted && ctx.Err() != nil:
@@ -60,7 +60,7 @@
 	case !grant.Granted:
 		return refusal(http.StatusServiceUnavailable, limitUnknownReason, grant.RetryAfter), false
 	}
-	waited := e.deps.Clock.Now() - began
+	waited := e.deps.Clock.Now() - request.submittedAt
 	if waited <= 0 {
 		return Answer{}, true
 	}
--- a/entry/routing/call.go
+++ b/entry/routing/call.go
@@ -22,7 +22,7 @@
 	request              Request
 	route                *route.Route
 	startedAt            clock.Millis
-	submittedAt          clock.Millis // before the wait for the lock of the engine
+	submittedAt          clock.Millis // before the waits for the tenant's allowance and for the lock of the engine
 	timerAt              clock.Millis // instant for which the timer is set
 	decidedAt            clock.Millis // instant of the decision to answer, or 0
 	machine              *dispatch.Request
@@ -48,7 +48,9 @@
 
 func (c *call) start() {
 	e := c.engine
-	c.submittedAt = e.deps.Clock.Now()
+	if c.submittedAt = c.request.submittedAt; c.submittedAt <= 0 {
+		c.submittedAt = e.deps.Clock.Now()
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	defer c.recoverPanic()
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -129,6 +129,8 @@
 	Tenant   *route.Tenant // of the caller's key, or nil
 	KeyHash  route.KeyHash // of the caller's key, if Tenant is set and no daemon delegated the request
 	Arrival  dispatch.Arrival
+
+	submittedAt clock.Millis // before the wait for the tenant's allowance, or 0 without one
 }
 
 // Answer is the result of a request: the reply of a replica, the merged records
