--- a/core/release/decider.go
+++ b/core/release/decider.go
@@ -100,8 +100,8 @@
 const (
 	// PublishReport distributes Report to all daemons.
 	PublishReport ActionKind = iota
-	// PublishWord distributes Word.
-	PublishWord
+	// PublishDirective distributes Directive.
+	PublishDirective
 	// WriteStatus writes Status if the status has still the revision Expect and the
 	// order the revision OrderRevision. The adapter calls HandleWrite once.
 	WriteStatus
@@ -115,7 +115,7 @@
 type Action struct {
 	Kind          ActionKind
 	Report        Report
-	Word          Word
+	Directive     Directive
 	Status        Status
 	Expect        uint64
 	OrderRevision uint64
@@ -205,8 +205,8 @@
 	}
 	if d.phaseAt == 0 {
 		d.phaseAt, d.phase = now, Trial
-		if r.word.Target == r.target { // of an earlier decider
-			d.phase, d.share = r.word.Phase, r.word.Share
+		if r.directive.Target == r.target { // of an earlier decider
+			d.phase, d.share = r.directive.Phase, r.directive.Share
 		}
 		if r.rejected {
 			d.phase, d.verdict = Rejected, "rejected by the previous decider"
@@ -229,14 +229,14 @@
 	case d.pending != nil && d.pending.State == Completed && !d.inFlight:
 		d.pending = nil // the write failed, and the release is no longer drained
 	}
-	if now >= d.spokenAt+r.interval() || r.word.Phase != d.phase || r.word.Revision != r.status.Revision {
+	if now >= d.spokenAt+r.interval() || r.directive.Phase != d.phase || r.directive.Revision != r.status.Revision {
 		d.spokenAt = now
-		word := Word{
-			Target: r.target, Revision: r.status.Revision, Sequence: r.word.Sequence + 1, Phase: d.phase, Share: d.share,
+		directive := Directive{
+			Target: r.target, Revision: r.status.Revision, Sequence: r.directive.Sequence + 1, Phase: d.phase, Share: d.share,
 			ElapsedMs: float64(now - r.startedAt), Daemons: len(r.members),
 		}
-		r.ReceiveWord(now, word, 0)
-		actions = append(actions, Action{Kind: PublishWord, Word: word})
+		r.ReceiveDirective(now, directive, 0)
+		actions = append(actions, Action{Kind: PublishDirective, Directive: directive})
 	}
 	return append(actions, r.write(now)...)
 }
@@ -370,7 +370,7 @@
 
 // drained reports whether no daemon has a request in flight at an old version, nor will
 // send one. A daemon that is silent for long does not count: it is dead, or no longer
-// obeys the word.
+// obeys the directive.
 func (r *Release) drained(now clock.Millis) bool {
 	silent := silentTime
 	if len(r.members) <= panelSize {
@@ -379,7 +379,7 @@
 	for _, member := range r.members {
 		held := r.reports[member]
 		if held == nil && r.decision.unheard[member] == 0 {
-			// It has just started, and may not have the word yet.
+			// It has just started, and may not have the directive yet.
 			if r.decision.unheard == nil {
 				r.decision.unheard = make(map[string]clock.Millis)
 			}
--- a/core/release/release.go
+++ b/core/release/release.go
@@ -2,7 +2,7 @@
 //
 // Operators order it with the version and a time. Each daemon runs a Release for each
 // ordered service. One of the daemons, the decider, collects the evidence of all,
-// judges the new version, and publishes its word: the share of the requests that the
+// judges the new version, and publishes its directive: the share of the requests that the
 // new version gets. The status of the release, running, completed or rolled back, is
 // written to the platform's store by compare-and-swap, and outlives all daemons.
 //
@@ -16,7 +16,7 @@
 //	r.SetStatus(now, status)             // the zero value if there is none
 //	r.SetMembers(now, daemons)
 //	r.ReceiveReport(now, daemon, report) // evidence of another daemon
-//	r.ReceiveWord(now, word, age)
+//	r.ReceiveDirective(now, directive, age)
 //	for _, action := range r.Tick(now, local) { publish, write, read or log }
 //	r.HandleWrite(now, result)
 //	pool.SetVersionRule(r.Rule())
@@ -104,11 +104,11 @@
 	return "unknown"
 }
 
-// Word is what the decider tells all daemons.
-type Word struct {
+// Directive is what the decider tells all daemons.
+type Directive struct {
 	Target   string  `cbor:"1,keyasint"`
-	Revision uint64  `cbor:"2,keyasint"` // of the decider's status; the word with the highest one is obeyed
-	Sequence uint64  `cbor:"3,keyasint"` // orders the words of a decider
+	Revision uint64  `cbor:"2,keyasint"` // of the decider's status; the directive with the highest one is obeyed
+	Sequence uint64  `cbor:"3,keyasint"` // orders the directives of a decider
 	Phase    Phase   `cbor:"4,keyasint"`
 	Share    float64 `cbor:"5,keyasint"`
 	// ElapsedMs is the time since the order.
@@ -116,8 +116,8 @@
 	Daemons   int     `cbor:"7,keyasint"` // that share the slack of the exposure bound
 }
 
-// newer reports whether the word replaces another one.
-func (w *Word) newer(other *Word) bool {
+// newer reports whether the directive replaces another one.
+func (w *Directive) newer(other *Directive) bool {
 	if w.Revision != other.Revision {
 		return w.Revision > other.Revision
 	}
@@ -128,7 +128,7 @@
 type Report struct {
 	Target      string `cbor:"1,keyasint"`
 	DataCentre  string `cbor:"2,keyasint"` // of the daemon
-	Revision    uint64 `cbor:"3,keyasint"` // of the word in force
+	Revision    uint64 `cbor:"3,keyasint"` // of the directive in force
 	Phase       Phase  `cbor:"4,keyasint"` // in force
 	Draws       uint64 `cbor:"5,keyasint"` // requests to the service
 	Exposed     uint64 `cbor:"6,keyasint"` // requests sent to the new version
@@ -139,23 +139,23 @@
 
 const (
 	defaultRollbackTime = 5 * clock.Second
-	// maxInterval is the longest time between two reports of a daemon, two words of the
+	// maxInterval is the longest time between two reports of a daemon, two directives of the
 	// decider, and two windows of the judge. The three delays add up.
 	maxInterval = 500 * clock.Millisecond
 	// intervalFraction of the rollback time bounds that time too.
 	intervalFraction = 0.1
-	// wordLifeFraction of the rollback time is the time after which a daemon without a
-	// newer word sends nothing more to a version that isn't proven.
-	wordLifeFraction = 0.5
+	// directiveLifeFraction of the rollback time is the time after which a daemon without a
+	// newer directive sends nothing more to a version that isn't proven.
+	directiveLifeFraction = 0.5
 	// drainLifetime is that time in the phase Drain. It exceeds the time between the
 	// last report of a daemon and the completion that is based on it, so that no
 	// daemon goes back to an old version that is stopped.
 	drainLifetime = 10 * clock.Second
 	// maxStoreAge is the age of the view of the store from which a decider gives no
-	// word, since the order may have been removed.
+	// directive, since the order may have been removed.
 	maxStoreAge = 5 * clock.Second
 	// settleTime is the time for which a daemon must have followed the release, to have
-	// the reports and words of the others, before it decides.
+	// the reports and directives of the others, before it decides.
 	settleTime = 1500 * clock.Millisecond
 	// inheritedAge is the time that a release has run before a daemon heard of it, from
 	// which it takes no part of the slack of the exposure bound: an earlier run of the
@@ -183,13 +183,15 @@
 	return s.RollbackTime
 }
 
-// interval returns the time between two reports, words and windows.
+// interval returns the time between two reports, directives and windows.
 func (r *Release) interval() clock.Millis {
 	return min(maxInterval, r.settings.rollbackTime()*intervalFraction)
 }
 
-// wordLifetime returns the time for which a word is obeyed before the drain.
-func (r *Release) wordLifetime() clock.Millis { return r.settings.rollbackTime() * wordLifeFraction }
+// directiveLifetime returns the time for which a directive is obeyed before the drain.
+func (r *Release) directiveLifetime() clock.Millis {
+	return r.settings.rollbackTime() * directiveLifeFraction
+}
 
 // heldReport is the latest report of a daemon.
 type heldReport struct {
@@ -204,20 +206,20 @@
 	service, self string
 	settings      Settings
 
-	order     *Order
-	status    Status
-	inherited bool // the release ran for inheritedAge before this daemon heard of it
-	startedAt clock.Millis
-	target    string   // that the fields below apply to
-	deciders  []string // daemons that may decide
-	members   []string // daemons that may send requests
-	word      Word
-	wordAt    clock.Millis
-	rejected  bool
-	reports   map[string]*heldReport // of all daemons, this one included
-	reportAt  clock.Millis
-	reported  Report // without cells, the latest of this daemon
-	tickedAt  clock.Millis
+	order       *Order
+	status      Status
+	inherited   bool // the release ran for inheritedAge before this daemon heard of it
+	startedAt   clock.Millis
+	target      string   // that the fields below apply to
+	deciders    []string // daemons that may decide
+	members     []string // daemons that may send requests
+	directive   Directive
+	directiveAt clock.Millis
+	rejected    bool
+	reports     map[string]*heldReport // of all daemons, this one included
+	reportAt    clock.Millis
+	reported    Report // without cells, the latest of this daemon
+	tickedAt    clock.Millis
 	// followedSince is the instant from which the daemon has followed the release
 	// without a pause.
 	followedSince clock.Millis
@@ -246,7 +248,7 @@
 	case r.status.Target != "":
 		return r.status.Target
 	default:
-		return r.word.Target
+		return r.directive.Target
 	}
 }
 
@@ -279,8 +281,8 @@
 	r.target, r.rejected = target, false
 	r.inherited = false
 	r.decision = decision{}
-	if r.word.Target != target {
-		r.word = Word{}
+	if r.directive.Target != target {
+		r.directive = Directive{}
 	}
 	clear(r.reports)
 }
@@ -341,26 +343,26 @@
 	held.report, held.at = report, now
 }
 
-// ReceiveWord takes the word of a decider that was published age ago. A word is obeyed if
+// ReceiveDirective takes the directive of a decider that was published age ago. A directive is obeyed if
 // its decider has written the latest status.
-func (r *Release) ReceiveWord(now clock.Millis, word Word, age clock.Millis) {
-	if !word.newer(&r.word) || word.Revision < r.status.Revision {
+func (r *Release) ReceiveDirective(now clock.Millis, directive Directive, age clock.Millis) {
+	if !directive.newer(&r.directive) || directive.Revision < r.status.Revision {
 		return
 	}
-	r.word, r.wordAt = word, now-max(0, age)
-	if word.Target != r.target {
+	r.directive, r.directiveAt = directive, now-max(0, age)
+	if directive.Target != r.target {
 		return
 	}
-	r.rejected = r.rejected || word.Phase == Rejected
-	if elapsed := clock.Millis(word.ElapsedMs); elapsed > 0 {
+	r.rejected = r.rejected || directive.Phase == Rejected
+	if elapsed := clock.Millis(directive.ElapsedMs); elapsed > 0 {
 		r.backdate(now, elapsed)
 	}
 }
 
-// ForgetWord ends the effect of the word, for example because this daemon was suspended
+// ForgetDirective ends the effect of the directive, for example because this daemon was suspended
 // for a time that its clock does not count.
-func (r *Release) ForgetWord(now clock.Millis) {
-	r.wordAt = min(r.wordAt, now-max(drainLifetime, r.wordLifetime()))
+func (r *Release) ForgetDirective(now clock.Millis) {
+	r.directiveAt = min(r.directiveAt, now-max(drainLifetime, r.directiveLifetime()))
 }
 
 // SetOrderRevision records that the item of the order has another revision, although the
@@ -374,21 +376,21 @@
 }
 
 // Idle reports whether neither an order nor a status is known, so that the release need
-// not be kept once the words of deciders have expired.
+// not be kept once the directives of deciders have expired.
 func (r *Release) Idle(now clock.Millis) bool {
-	return r.order == nil && r.status.Target == "" && now >= r.wordAt+clock.Minute
+	return r.order == nil && r.status.Target == "" && now >= r.directiveAt+clock.Minute
 }
 
 // Share returns the share that the new version gets at present, for metrics, and the
-// phase of the latest word.
+// phase of the latest directive.
 func (r *Release) Share(now clock.Millis) (float64, Phase) {
 	switch rule := r.Rule(); {
 	case rule.Until > 0 && now >= rule.Until:
-		return 0, r.word.Phase
+		return 0, r.directive.Phase
 	case rule.Mode == replica.TargetOnly:
-		return 1, r.word.Phase
+		return 1, r.directive.Phase
 	default:
-		return rule.Share, r.word.Phase
+		return rule.Share, r.directive.Phase
 	}
 }
 
@@ -408,18 +410,18 @@
 		return replica.VersionRule{}
 	case current && r.status.State == Completed:
 		rule.Mode = replica.TargetOnly
-	case r.order == nil, r.rejected, !current || r.status.State != Running, r.word.Target != target,
-		r.word.Revision < r.status.Revision, r.word.Phase == Trial && !r.panelist:
-	case r.word.Phase == Trial:
-		rule.Mode, rule.Share, rule.Until = replica.SplitVersions, r.word.Share, r.wordAt+r.wordLifetime()
+	case r.order == nil, r.rejected, !current || r.status.State != Running, r.directive.Target != target,
+		r.directive.Revision < r.status.Revision, r.directive.Phase == Trial && !r.panelist:
+	case r.directive.Phase == Trial:
+		rule.Mode, rule.Share, rule.Until = replica.SplitVersions, r.directive.Share, r.directiveAt+r.directiveLifetime()
 		rule.Bounded, rule.ExposureShare = true, r.settings.ExposureShare*usableBound
 		if !r.inherited {
-			rule.ExposureSlack = r.settings.ExposureSlack * usableBound / float64(min(panelSize, max(1, r.word.Daemons, len(r.members))))
+			rule.ExposureSlack = r.settings.ExposureSlack * usableBound / float64(min(panelSize, max(1, r.directive.Daemons, len(r.members))))
 		}
-	case r.word.Phase == Ramp:
-		rule.Mode, rule.Share, rule.Until = replica.SplitVersions, r.word.Share, r.wordAt+r.wordLifetime()
-	case r.word.Phase == Drain:
-		rule.Mode, rule.Until = replica.TargetOnly, r.wordAt+drainLifetime
+	case r.directive.Phase == Ramp:
+		rule.Mode, rule.Share, rule.Until = replica.SplitVersions, r.directive.Share, r.directiveAt+r.directiveLifetime()
+	case r.directive.Phase == Drain:
+		rule.Mode, rule.Until = replica.TargetOnly, r.directiveAt+drainLifetime
 	}
 	return rule
 }
@@ -434,16 +436,16 @@
 	return excluded[max(0, len(excluded)-maxExcluded):]
 }
 
-// phaseInForce returns the phase of the word that the daemon obeys, and the revision of
-// that word.
+// phaseInForce returns the phase of the directive that the daemon obeys, and the revision of
+// that directive.
 func (r *Release) phaseInForce(now clock.Millis) (Phase, uint64) {
 	switch rule := r.Rule(); {
 	case r.rejected:
-		return Rejected, r.word.Revision
+		return Rejected, r.directive.Revision
 	case rule.Mode == replica.TargetOnly && now < rule.Until:
-		return Drain, r.word.Revision
+		return Drain, r.directive.Revision
 	case rule.Mode == replica.SplitVersions && now < rule.Until:
-		return r.word.Phase, r.word.Revision
+		return r.directive.Phase, r.directive.Revision
 	default:
 		return Trial, 0
 	}
--- a/core/release/release_test.go
+++ b/core/release/release_test.go
@@ -178,7 +178,7 @@
 
 func (s *fleetSim) perform(d *simDaemon, action Action) {
 	switch action.Kind {
-	case PublishReport, PublishWord:
+	case PublishReport, PublishDirective:
 		if action.Kind == PublishReport {
 			s.reports++
 		}
@@ -191,9 +191,9 @@
 				require.NoError(s.t, err)
 				other.ReceiveReport(s.now, d.self, report)
 			} else {
-				word, err := DecodeWord(EncodeWord(action.Word))
+				directive, err := DecodeDirective(EncodeDirective(action.Directive))
 				require.NoError(s.t, err)
-				other.ReceiveWord(s.now, word, 0)
+				other.ReceiveDirective(s.now, directive, 0)
 			}
 		}
 	case WriteStatus:
@@ -275,7 +275,7 @@
 		if r.Entry().Version() == "v2" && d.pool.HasRelease() {
 			s.exposed++
 			s.lastExposedAt = s.now
-			if d.Rule().Bounded && s.status.State == Running && d.word.Phase == Trial {
+			if d.Rule().Bounded && s.status.State == Running && d.directive.Phase == Trial {
 				assert.LessOrEqual(s.t, float64(s.exposed), simSettings.ExposureShare*float64(s.requests)+simSettings.ExposureSlack,
 					"exposure before the verdict")
 			}
@@ -392,7 +392,7 @@
 			return map[bool]float64{true: 0.4}[elapsed > duration/2]
 		}},
 		"under load": {failing: func(s *fleetSim, _ clock.Millis) float64 {
-			return map[bool]float64{true: 0.5}[s.daemons[0].word.Share > 0.3]
+			return map[bool]float64{true: 0.5}[s.daemons[0].directive.Share > 0.3]
 		}},
 		"traffic falls": {
 			failing: func(*fleetSim, clock.Millis) float64 { return 0.3 },
@@ -434,11 +434,11 @@
 			s.decider().dead = true
 		},
 		"decider dies in the ramp": func(s *fleetSim) {
-			s.run(duration, func() bool { return s.daemons[0].word.Phase == Ramp })
+			s.run(duration, func() bool { return s.daemons[0].directive.Phase == Ramp })
 			s.decider().dead = true
 		},
 		"decider dies in the drain": func(s *fleetSim) {
-			s.run(duration, func() bool { return s.daemons[0].word.Phase == Drain })
+			s.run(duration, func() bool { return s.daemons[0].directive.Phase == Drain })
 			s.decider().dead = true
 		},
 		"decider cut off from all": func(s *fleetSim) {
@@ -451,12 +451,12 @@
 			paused.paused = true
 			s.run(2*clock.Second, nil)
 			paused.paused = false
-			sequence := s.daemons[0].word.Sequence
+			sequence := s.daemons[0].directive.Sequence
 			s.run(4*clock.Second, nil)
-			assert.Greater(s.t, s.daemons[0].word.Sequence, sequence, "words after the pause must be obeyed")
+			assert.Greater(s.t, s.daemons[0].directive.Sequence, sequence, "directives after the pause must be obeyed")
 		},
 		"decider pauses in the drain": func(s *fleetSim) {
-			s.run(duration, func() bool { return s.daemons[0].word.Phase == Drain })
+			s.run(duration, func() bool { return s.daemons[0].directive.Phase == Drain })
 			paused := s.decider()
 			paused.paused = true
 			s.run(7*clock.Second, s.ended)
@@ -482,7 +482,7 @@
 			}
 		},
 		"all restart in the ramp": func(s *fleetSim) {
-			s.run(duration, func() bool { return s.daemons[0].word.Phase == Ramp })
+			s.run(duration, func() bool { return s.daemons[0].directive.Phase == Ramp })
 			for i := range s.daemons {
 				s.restart(i)
 			}
@@ -546,7 +546,7 @@
 // Guards against requests to the new version while the order is removed, the store is
 // silent, or a daemon hears nothing of the decider; and against a terminal state that is
 // written without an order.
-func TestNewVersionStopsWithoutWord(t *testing.T) {
+func TestNewVersionStopsWithoutDirective(t *testing.T) {
 	for name, fault := range map[string]func(s *fleetSim){
 		"order removed": func(s *fleetSim) { s.setOrder(nil) },
 		"store silent":  func(s *fleetSim) { s.silent = true },
@@ -566,7 +566,7 @@
 			at := s.now
 			fault(s)
 			s.run(30*clock.Second, nil)
-			assert.LessOrEqual(t, s.lastExposedAt-at, maxStoreAge+simSettings.RollbackTime*wordLifeFraction+2*simTick)
+			assert.LessOrEqual(t, s.lastExposedAt-at, maxStoreAge+simSettings.RollbackTime*directiveLifeFraction+2*simTick)
 			assert.Equal(t, []State{Running}, s.history)
 		})
 	}
@@ -577,24 +577,24 @@
 func TestRuleOfState(t *testing.T) {
 	order := &Order{Target: "v2", Duration: clock.Minute, Revision: 3}
 	for name, c := range map[string]struct {
-		order  *Order
-		status Status
-		word   Word
-		want   replica.VersionRule
+		order     *Order
+		status    Status
+		directive Directive
+		want      replica.VersionRule
 	}{
-		"nothing known":       {want: replica.VersionRule{}},
-		"order only":          {order: order, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2", TargetIfAlone: true}},
-		"word without order":  {word: Word{Target: "v2", Revision: 9, Share: 1, Phase: Ramp}, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2"}},
-		"running, no word":    {order: order, status: Status{State: Running, Target: "v2", Revision: 4}, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2", TargetIfAlone: true}},
-		"completed":           {order: order, status: Status{State: Completed, Target: "v2", Revision: 4}, want: replica.VersionRule{Mode: replica.TargetOnly, Target: "v2"}},
-		"completed, no order": {status: Status{State: Completed, Target: "v2", Revision: 4}, want: replica.VersionRule{Mode: replica.TargetOnly, Target: "v2"}},
-		"rolled back":         {order: order, status: Status{State: RolledBack, Target: "v2", Revision: 4}, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2"}},
+		"nothing known":           {want: replica.VersionRule{}},
+		"order only":              {order: order, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2", TargetIfAlone: true}},
+		"directive without order": {directive: Directive{Target: "v2", Revision: 9, Share: 1, Phase: Ramp}, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2"}},
+		"running, no directive":   {order: order, status: Status{State: Running, Target: "v2", Revision: 4}, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2", TargetIfAlone: true}},
+		"completed":               {order: order, status: Status{State: Completed, Target: "v2", Revision: 4}, want: replica.VersionRule{Mode: replica.TargetOnly, Target: "v2"}},
+		"completed, no order":     {status: Status{State: Completed, Target: "v2", Revision: 4}, want: replica.VersionRule{Mode: replica.TargetOnly, Target: "v2"}},
+		"rolled back":             {order: order, status: Status{State: RolledBack, Target: "v2", Revision: 4}, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2"}},
 		"next order after a rollback": {
 			order: &Order{Target: "v3", Duration: clock.Minute, Revision: 7}, status: Status{State: RolledBack, Target: "v2", Revision: 4},
 			want: replica.VersionRule{Mode: replica.OldVersions, Target: "v3", Excluded: []string{"v2"}, TargetIfAlone: true},
 		},
-		"word of an earlier decider": {
-			order: order, status: Status{State: Running, Target: "v2", Revision: 9}, word: Word{Target: "v2", Revision: 8, Share: 1, Phase: Ramp},
+		"directive of an earlier decider": {
+			order: order, status: Status{State: Running, Target: "v2", Revision: 9}, directive: Directive{Target: "v2", Revision: 8, Share: 1, Phase: Ramp},
 			want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2", TargetIfAlone: true},
 		},
 	} {
@@ -604,8 +604,8 @@
 				r.SetOrder(1000, c.order)
 			}
 			r.SetStatus(1000, c.status, 0)
-			if c.word.Target != "" {
-				r.ReceiveWord(1000, c.word, 0)
+			if c.directive.Target != "" {
+				r.ReceiveDirective(1000, c.directive, 0)
 			}
 			assert.Equal(t, c.want, r.Rule())
 		})
@@ -627,13 +627,13 @@
 
 // FuzzRecord guards against a record of a peer that ends the daemon.
 func FuzzRecord(f *testing.F) {
-	f.Add(EncodeWord(Word{Target: "v2", Share: 0.5}))
+	f.Add(EncodeDirective(Directive{Target: "v2", Share: 0.5}))
 	f.Add(EncodeReport(Report{Target: "v2", Cells: []Cell{{CellKey: CellKey{Route: "r", Replica: 2}, Counts: Counts{Attempts: 2, Latency: []uint32{0, 0, 2}}}}}))
 	f.Fuzz(func(_ *testing.T, body []byte) {
 		r := New(simService, "d", simSettings)
 		r.SetOrder(0, &Order{Target: "v2", Duration: clock.Minute})
-		if word, err := DecodeWord(body); err == nil {
-			r.ReceiveWord(10, word, 0)
+		if directive, err := DecodeDirective(body); err == nil {
+			r.ReceiveDirective(10, directive, 0)
 		}
 		if report, err := DecodeReport(body); err == nil {
 			r.ReceiveReport(10, "e", report)
--- a/core/release/wire.go
+++ b/core/release/wire.go
@@ -96,21 +96,21 @@
 	return report, nil
 }
 
-// EncodeWord returns the body of a record.
-func EncodeWord(word Word) []byte {
-	body, _ := cbor.Marshal(word)
+// EncodeDirective returns the body of a record.
+func EncodeDirective(directive Directive) []byte {
+	body, _ := cbor.Marshal(directive)
 	return body
 }
 
-// DecodeWord decodes a word. Errors wrap ErrMalformed.
-func DecodeWord(body []byte) (Word, error) {
-	var word Word
-	if err := cbor.Unmarshal(body, &word); err != nil {
-		return Word{}, errors.Wrapf(ErrMalformed, "%v", err)
+// DecodeDirective decodes a directive. Errors wrap ErrMalformed.
+func DecodeDirective(body []byte) (Directive, error) {
+	var directive Directive
+	if err := cbor.Unmarshal(body, &directive); err != nil {
+		return Directive{}, errors.Wrapf(ErrMalformed, "%v", err)
 	}
-	if word.Phase > Rejected || !(word.Share >= 0 && word.Share <= 1) || !(word.ElapsedMs >= 0) ||
-		word.Daemons < 0 || word.Daemons > maxDaemons || word.Target == "" {
-		return Word{}, errors.Wrap(ErrMalformed, "word out of range")
+	if directive.Phase > Rejected || !(directive.Share >= 0 && directive.Share <= 1) || !(directive.ElapsedMs >= 0) ||
+		directive.Daemons < 0 || directive.Daemons > maxDaemons || directive.Target == "" {
+		return Directive{}, errors.Wrap(ErrMalformed, "directive out of range")
 	}
-	return word, nil
+	return directive, nil
 }
--- a/entry/gateway/crashes.go
+++ b/entry/gateway/crashes.go
@@ -45,7 +45,7 @@
 // those of other kinds. The tracker calls it with its lock held.
 func (g *Gateway) handleRecord(record fleet.Record) {
 	switch record.Kind() {
-	case releaseReportKind, releaseWordKind:
+	case releaseReportKind, releaseDirectiveKind:
 		if g.dependencies.Releases != nil {
 			g.releases.handleRecord(record)
 		}
--- a/entry/gateway/releases.go
+++ b/entry/gateway/releases.go
@@ -18,8 +18,8 @@
 
 // Kinds of the records that the daemons publish about a release.
 const (
-	releaseReportKind = "release-report"
-	releaseWordKind   = "release-word"
+	releaseReportKind    = "release-report"
+	releaseDirectiveKind = "release-directive"
 )
 
 const (
@@ -222,7 +222,7 @@
 			continue
 		}
 		if suspended {
-			r.ForgetWord(now)
+			r.ForgetDirective(now)
 		}
 		r.SetMembers(s.deciders, s.members)
 		s.gateway.engine.SetVersionRule(service, r.Rule())
@@ -260,8 +260,8 @@
 	switch action.Kind {
 	case release.PublishReport:
 		s.publish(releaseReportKind, service, release.EncodeReport(action.Report))
-	case release.PublishWord:
-		s.publish(releaseWordKind, service, release.EncodeWord(action.Word))
+	case release.PublishDirective:
+		s.publish(releaseDirectiveKind, service, release.EncodeDirective(action.Directive))
 	case release.WriteStatus:
 		s.gateway.tasks.Go(func() { s.writeStatus(ctx, service, action) })
 	case release.ReadStatus:
@@ -301,10 +301,10 @@
 				r.ReceiveReport(now, daemon, report)
 			}
 		}
-	case releaseWordKind:
-		if word, err := release.DecodeWord(record.Body()); err == nil {
+	case releaseDirectiveKind:
+		if directive, err := release.DecodeDirective(record.Body()); err == nil {
 			// A daemon that the order has not reached must not use the new version.
-			s.of(service).ReceiveWord(now, word, releaseRecordLifetime-record.Lifetime())
+			s.of(service).ReceiveDirective(now, directive, releaseRecordLifetime-record.Lifetime())
 		}
 	}
 }
