--- a/core/allowance/ledger.go
+++ b/core/allowance/ledger.go
@@ -126,7 +126,7 @@
 	l.stats.Refused += int64(needed - granted)
 	perToken := clock.Millis(float64(clock.Second) / (limit.rate * max(l.view.Share(), minRetryShare)))
 	next := max(now, a.at) + clock.Millis(1-a.tokens)*perToken
-	// Each refused request is told a later token, so that retries don't arrive together.
+	// Each refused request gets a later RetryAfter, so that retries don't arrive together.
 	// A token more than a window ahead is not promised.
 	a.promised = max(next, min(a.promised+perToken, now+l.policy.Window))
 	return Reply{Granted: granted, NextIn: next - now, RetryAfter: min(a.promised-now, l.policy.Window)}
