--- a/review/standin-2/apart.go
+++ b/review/standin-2/apart.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sort"
 	"syscall"
 	"time"
@@ -15,27 +16,16 @@
 // them grants a large part of a tenant's limit.
 func restartApart(w *world) (bool, error) {
 	const (
-		perZone  = 5  // machines; the first of each zone is a seed
-		rounds   = 8  // in which machines are added and removed
-		extra    = 20 // machines of a round
-		formed   = 45 * time.Second
-		rate     = 43.0 // of the tenant, requests per second
-		burst    = 43.0
-		window   = 5 * time.Second
-		over     = 0.1
-		slack    = 20.0
-		allowed  = (rate*5+burst)*(1+over) + slack
-		perZoneS = 100.0 // requests of the tenant per second and zone: 7 times its limit
+		rate          = 43.0 // of the tenant, requests per second
+		burst         = 43.0
+		window        = 5 * time.Second
+		over          = 0.1
+		slack         = 20.0
+		allowed       = (rate*5+burst)*(1+over) + slack
+		clientsOfZone = 20
+		perZoneS      = 100.0 // requests of the tenant per second and zone: 7 times its limit
 	)
-	var places []place
-	for i := range perZone {
-		for z := range 3 {
-			places = append(places, place{
-				name: fmt.Sprintf("front-%c-%d", 'a'+z, i+1), zone: string(rune('a' + z)), ip: fmt.Sprintf("127.0.3.%d", len(places)+1),
-			})
-		}
-	}
-	if err := w.prepare(places, true); err != nil {
+	if err := w.prepare(mediumFleet(), true); err != nil {
 		return false, err
 	}
 	w.configure(7, []map[string]any{{
@@ -53,39 +43,29 @@
 		}
 		servers = append(servers, s)
 	}
-	for round := range rounds {
-		if err := w.passingMachines(round, extra); err != nil {
-			return false, err
-		}
-	}
 	if err := w.start(); err != nil {
 		return false, err
 	}
-	// They find each other late at this start too: it is no part of the case.
-	time.Sleep(formed)
+	if err := w.past(); err != nil {
+		return false, err
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var all []*clients
 	for _, zone := range []string{"a", "b", "c"} {
-		c := newClients(&clients{
-			record: w.record, zone: zone, directories: w.directories(zone), host: "h.example", path: "/archive/2f",
-			method: http.MethodGet, timeLimit: 1500 * time.Millisecond, safe: true, key: "6dnvhz6prvnzqjynjcfv", obeys: true,
-		})
-		c.run(ctx, perZoneS)
-		all = append(all, c)
+		for range clientsOfZone {
+			c := newClients(&clients{
+				record: w.record, zone: zone, directories: w.directories(zone), host: "h.example", path: "/archive/2f",
+				method: http.MethodGet, timeLimit: 1500 * time.Millisecond, safe: true, key: "6dnvhz6prvnzqjynjcfv", obeys: true,
+			})
+			c.run(ctx, perZoneS/clientsOfZone)
+			all = append(all, c)
+		}
 	}
 	time.Sleep(10 * time.Second)
 	if w.trouble {
-		for _, m := range w.machines {
-			m.signal(syscall.SIGKILL)
-		}
-		w.record.say("all %d daemons are killed; they start again", len(w.machines))
-		time.Sleep(300 * time.Millisecond)
-		for _, m := range w.machines {
-			<-m.exited
-			if err := m.start(w.root, w.command); err != nil {
-				return false, err
-			}
+		if err := w.killAndStartAll(); err != nil {
+			return false, err
 		}
 	}
 	time.Sleep(30 * time.Second)
@@ -140,8 +120,9 @@
 	return float64(most) > allowed, nil
 }
 
-// passingMachines adds machines, waits until they have made themselves known in the store, and
-// removes them for good, without a SIGTERM.
+// passingMachines adds machines and removes each for good, without a SIGTERM, as soon as it has
+// made itself known in the store. It stands for machines of the past: the daemons that run don't
+// get to know them as members, as they have forgotten those that left more than ten minutes ago.
 func (w *world) passingMachines(round, count int) error {
 	var added []*machine
 	defer func() {
@@ -154,25 +135,26 @@
 		m := &machine{
 			name: fmt.Sprintf("front-%s-past-%d-%d", like.zone, round, i), zone: like.zone, ip: fmt.Sprintf("127.0.%d.%d", 10+round, 1+i),
 			ports: like.ports, store: like.store, seeds: like.seeds, tenants: like.tenants, folder: w.folder,
+			retrySlack: like.retrySlack,
 		}
 		if err := m.start(w.root, w.command); err != nil {
 			return err
 		}
 		added = append(added, m)
 	}
-	for end := time.Now().Add(15 * time.Second); ; time.Sleep(50 * time.Millisecond) {
-		known := 0
-		for _, m := range added {
-			if w.store.has("lovagegap/daemons/" + m.at(m.ports.peers)) {
-				known++
+	left := append([]*machine(nil), added...)
+	for end := time.Now().Add(15 * time.Second); len(left) > 0; time.Sleep(2 * time.Millisecond) {
+		left = slices.DeleteFunc(left, func(m *machine) bool {
+			known := w.store.has("lovagegap/daemons/" + m.at(m.ports.peers))
+			if known {
+				m.signal(syscall.SIGKILL)
 			}
-		}
-		if known == len(added) {
-			w.record.line("%d machines were added; they are removed for good", known)
-			return nil
-		}
+			return known
+		})
 		if time.Now().After(end) {
-			return fmt.Errorf("only %d of %d added machines are known in the store", known, len(added))
+			return fmt.Errorf("%d of %d added machines are not known in the store", len(left), len(added))
 		}
 	}
+	w.record.line("%d machines were added and removed for good", len(added))
+	return nil
 }
--- a/review/standin-2/daemon.go
+++ b/review/standin-2/daemon.go
@@ -31,6 +31,7 @@
 	store          string
 	seeds          []string
 	tenants        bool
+	retrySlack     int
 
 	folder  string
 	process *exec.Cmd
@@ -78,7 +79,7 @@
 		"callers": m.at(m.ports.callers), "readiness": m.at(m.ports.readiness), "addresses": m.at(m.ports.addresses),
 		"peers": m.at(m.ports.peers), "store": m.store, "metrics": m.at(m.ports.metrics), "seeds": m.seeds,
 		"key": "lovagegap", "graceS": graceS, "lifetimeS": 4,
-		"repeats": map[string]any{"ratio": retryRatio, "slack": retrySlack, "windowS": retryWindowS},
+		"repeats": map[string]any{"ratio": retryRatio, "slack": m.retrySlack, "windowS": retryWindowS},
 		"limits":  map[string]any{"memoryMb": 414, "maxDescriptors": 6150, "cpuShare": 0.608, "cores": 1},
 		"log":     map[string]any{"level": 1, "sample": 100},
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -8,8 +8,10 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/signal"
@@ -29,8 +31,9 @@
 const caseLimit = 118 * time.Second
 
 var cases = map[string]func(*world) (broken bool, err error){
-	"restart-apart": restartApart,
-	"stale-entry":   staleEntry,
+	"restart-apart":   restartApart,
+	"restart-retries": restartRetries,
+	"stale-entry":     staleEntry,
 }
 
 func main() {
@@ -85,6 +88,8 @@
 	store    *store
 	machines []*machine
 	proxies  []*proxy // on the link of each machine to the store
+
+	retrySlack int // 0 for that of the small sites
 }
 
 // place is a machine to start.
@@ -92,7 +97,7 @@
 
 // smallSite is the places of the machines of the small sites: 4 in 3 zones.
 var smallSite = []place{
-	{"front-a-1", "a", "127.0.3.1"}, {"front-a-2", "a", "127.0.3.2"}, {"front-b-1", "b", "127.0.3.3"}, {"front-c-1", "c", "127.0.3.4"},
+	{"front-a-1", "a", "127.0.2.1"}, {"front-a-2", "a", "127.0.2.2"}, {"front-b-1", "b", "127.0.2.3"}, {"front-c-1", "c", "127.0.2.4"},
 }
 
 // prepare starts the store and sets the machines up.
@@ -134,6 +139,7 @@
 		w.proxies = append(w.proxies, link)
 		w.machines = append(w.machines, &machine{
 			name: p.name, zone: p.zone, ip: p.ip, ports: found, store: l.Addr().String(), seeds: seeds, tenants: tenants, folder: w.folder,
+			retrySlack: cmp.Or(w.retrySlack, retrySlack),
 		})
 	}
 	return nil
@@ -174,7 +180,8 @@
 	}
 }
 
-// directories returns the addresses of the directory, those of a zone first.
+// directories returns the three addresses of the directory that a client of a zone asks, nearest
+// first: three of its zone at random, or fewer and then others.
 func (w *world) directories(zone string) []string {
 	var near, far []string
 	for _, m := range w.machines {
@@ -184,7 +191,10 @@
 			far = append(far, m.at(m.ports.addresses))
 		}
 	}
-	return append(near, far...)
+	for _, list := range [][]string{near, far} {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	return append(near, far...)[:3]
 }
 
 // configure writes a version of the configuration.
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -144,7 +144,7 @@
 	s.arrivals = append(s.arrivals, arrival{at: at, id: id, ran: true, begun: time.Now()})
 	handle := s.handle
 	s.mu.Unlock()
-	s.record.line("server %s runs request %s", s.id, id)
+	s.record.line("request %s begins at server %s", id, s.id)
 	if handle != nil && handle(s, w, r, body) {
 		return
 	}
@@ -160,6 +160,13 @@
 // stamp stands for the MAC of an answer.
 func stamp(server, request string) string { return "stamp." + server + "." + request }
 
+// setHandle replaces what the server does with requests; nil is to run them.
+func (s *server) setHandle(handle func(*server, http.ResponseWriter, *http.Request, []byte) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handle = handle
+}
+
 func (s *server) seen() []arrival {
 	s.mu.Lock()
 	defer s.mu.Unlock()
