--- a/review/standin-2/stale_entry.go
+++ b/review/standin-2/stale_entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -13,12 +14,12 @@
 	const (
 		zones     = 3
 		perZone   = 5
-		rounds    = 6
-		every     = 13 * time.Second
+		rounds    = 8
+		every     = 12 * time.Second
 		cut       = 1800 * time.Millisecond // less than the longest of the sheet, 5.5 s
 		leaveIn   = 600 * time.Millisecond  // after the start of the cut
 		leaving   = 2                       // servers of a round, 13 of 100
-		serveOn   = 11 * time.Second        // after the removal of the entry: "at times many seconds"
+		serveOn   = 10 * time.Second        // after the removal of the entry: "at times many seconds"
 		replaceIn = 3 * time.Second
 	)
 	if err := w.prepare(smallSite, false); err != nil {
@@ -30,16 +31,16 @@
 	}}, []map[string]any{{"name": "ledger", "healthPath": "/health", "maxConns": 43, "protocol": "h1", "tls": false, "warmupS": 3.0, "warmupPerS": 0.0}}, nil)
 	var running []*server
 	number := 0
-	add := func() error {
+	add := func(zone string) error {
 		number++
 		s, err := startServer(w.record, w.store, serverSpec{
-			id: fmt.Sprintf("i-%04d", number), service: "ledger", zone: string(rune('a' + number%zones)), slots: 4, work: 20 * time.Millisecond,
+			id: fmt.Sprintf("i-%04d", number), service: "ledger", zone: zone, slots: 4, work: 20 * time.Millisecond,
 		})
 		running = append(running, s)
 		return err
 	}
-	for range zones * perZone {
-		if err := add(); err != nil {
+	for i := range zones * perZone {
+		if err := add(string(rune('a' + i%zones))); err != nil {
 			return false, err
 		}
 		time.Sleep(70 * time.Millisecond) // their beats are spread
@@ -77,9 +78,11 @@
 		}
 		time.Sleep(leaveIn)
 		now := time.Now()
+		// Those of the zone of the machine, which it prefers.
 		for range leaving {
-			s := running[0]
-			running = running[1:]
+			i := slices.IndexFunc(running, func(s *server) bool { return s.zone == w.machines[which].zone })
+			s := running[i]
+			running = slices.Delete(running, i, i+1)
 			s.leaveAbruptly()
 			gone = append(gone, left{server: s, removedAt: now, inTouch: began.Add(cut + contactMs), machine: w.machines[which].name})
 			time.AfterFunc(serveOn, s.end)
@@ -91,7 +94,7 @@
 		}
 		time.Sleep(time.Until(began.Add(replaceIn)))
 		for range leaving {
-			if err := add(); err != nil {
+			if err := add(w.machines[which].zone); err != nil {
 				return false, err
 			}
 		}
