--- a/review/standin-2/apart.go
+++ b/review/standin-2/apart.go
@@ -23,6 +23,7 @@
 		slack         = 20.0
 		allowed       = (rate*5+burst)*(1+over) + slack
 		clientsOfZone = 20
+		past          = 15    // rounds in which machines are added and removed
 		perZoneS      = 100.0 // requests of the tenant per second and zone: 7 times its limit
 	)
 	if err := w.prepare(mediumFleet(), true); err != nil {
@@ -46,7 +47,7 @@
 	if err := w.start(); err != nil {
 		return false, err
 	}
-	if err := w.past(); err != nil {
+	if err := w.past(past); err != nil {
 		return false, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
--- a/review/standin-2/retries.go
+++ b/review/standin-2/retries.go
@@ -24,6 +24,7 @@
 		shedFor       = 9 * time.Second
 		shedShare     = 0.8 // of the servers
 		shedPart      = 0.6 // of their requests
+		past          = 40  // rounds in which machines are added and removed
 	)
 	w.retrySlack = slack
 	if err := w.prepare(mediumFleet(), false); err != nil {
@@ -46,7 +47,7 @@
 	if err := w.start(); err != nil {
 		return false, err
 	}
-	if err := w.past(); err != nil {
+	if err := w.past(past); err != nil {
 		return false, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
@@ -153,11 +154,10 @@
 }
 
 // past waits until the daemons know each other, and lets machines of the past make themselves
-// known in the store.
-func (w *world) past() error {
+// known in the store, in some rounds.
+func (w *world) past(rounds int) error {
 	const (
 		formed = 8 * time.Second
-		rounds = 15 // in which machines are added and removed
 		extra  = 20 // machines of a round
 	)
 	time.Sleep(formed)
