exchange, upstreams: a reply with an invalid status is no answer

Callers saw: after a reply with a status below 100, the bytes that followed it as the answer (status 200 with a body that was none, also as a part of an answer over many shards), or an answer only at the deadline. A reply with status 600 or above was passed on as it was.

Cause: http.ReadResponse accepts any three characters that form a number as a status. The reader of replies took all below 200 for informational replies that the answer follows, and all from 500 for errors of the replica. The client of lovagegapd for upstreams failed the exchange but kept the connection.

Change: body.ReadResponse, which both use, rejects a status outside 100 to 599 (RFC 9110, section 15). The exchange ends as garbled (failed in lovagegapd) and the connection is closed, like after any reply that is not HTTP. Informational replies are skipped as before.

--- a/entry/body/body.go
+++ b/entry/body/body.go
@@ -1,7 +1,10 @@
-// Package body reads the bodies of HTTP responses up to a size limit.
+// Package body reads HTTP responses: heads that are valid, and bodies up to a size limit.
 //
 // # Usage
 //
+//	response, err := body.ReadResponse(reader, request)
+//	if errors.Is(err, body.ErrInvalid) { … }
+//
 //	data, err := body.Read(response, 4<<20, nil)
 //	if errors.Is(err, body.ErrOversized) { … }
 //
--- a/entry/exchange/conn.go
+++ b/entry/exchange/conn.go
@@ -99,7 +99,7 @@
 			return nil, false, err
 		}
 		c.replyBegun = true
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := body.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, false, c.readError(err)
 		}
--- a/entry/exchange/hostile_test.go
+++ b/entry/exchange/hostile_test.go
@@ -267,6 +267,37 @@
 	}
 }
 
+// Guards against a reply with a status outside the range of HTTP that is taken for an
+// answer, or for an informational reply that the answer follows.
+func TestReplyWithInvalidStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "+99", "-00", "600", "999"} {
+		for name, body := range map[string]string{"body": "body", "body like a reply": completeReply} {
+			t.Run(status+" with a "+name, func(t *testing.T) {
+				requireGarbled(t, fmt.Sprintf("HTTP/1.1 %s Odd\r\nId: r1\r\nSeal: s\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body))
+			})
+		}
+	}
+}
+
+// requireGarbled checks that a reply to the first or to a later request on a connection
+// ends the exchange as garbled before its deadline, and that the connection is closed.
+func requireGarbled(t *testing.T, text string) {
+	t.Helper()
+	for _, script := range [][]string{{text}, {completeReply, text}} {
+		s := newScriptedReplica(t, script...)
+		client := NewClient(clock.Clock{}, headerNames)
+		for range len(script) - 1 {
+			_, result := run(t, client, s.spec("r1"))
+			require.Equal(t, replica.OK, result)
+		}
+		spec := s.spec("r1")
+		reply, result := run(t, client, spec)
+		require.Equal(t, replica.Garbled.String(), result.String())
+		require.Nil(t, reply)
+		require.Empty(t, client.idle[spec.Address], "the connection must not be used again")
+	}
+}
+
 // FuzzReadReply guards against bytes of a replica that end the process, exceed the
 // limits, or pass as an answer without its seal.
 func FuzzReadReply(f *testing.F) {
--- a/entry/upstreams/conn.go
+++ b/entry/upstreams/conn.go
@@ -108,7 +108,7 @@
 func (c *conn) readReply(method *http.Request) (reply, error) {
 	c.limited.N = maxHeadBytes
 	c.head.BeginHead()
-	response, err := http.ReadResponse(c.reader, method)
+	response, err := body.ReadResponse(c.reader, method)
 	if err != nil {
 		return reply{}, c.classifyReadError(err)
 	}
--- a/entry/upstreams/exchange_test.go
+++ b/entry/upstreams/exchange_test.go
@@ -177,6 +177,9 @@
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX: %s\r\n", strings.Repeat("x", 2*maxHeadBytes))
 		}, longDeadline, upstream.Failed, false},
 		{"not HTTP", func(c net.Conn, _ *http.Request, _ int) { fmt.Fprint(c, "220 ready\r\n\r\n") }, longDeadline, upstream.Failed, false},
+		{"status 000", replyWithStatus("000 Odd", ""), longDeadline, upstream.Failed, false},
+		{"status 099", replyWithStatus("099 Odd", ""), longDeadline, upstream.Failed, false},
+		{"status 600", replyWithStatus("600 Odd", ""), longDeadline, upstream.Failed, false},
 		{"more bytes than announced", func(c net.Conn, r *http.Request, _ int) {
 			fmt.Fprint(c, replyHead(r, len(validBody)), validBody, "more")
 		}, longDeadline, upstream.OK, false},
