exchange, upstreams: a reply with an invalid name of a header is no answer

Callers saw: status 200 from a reply whose head held a space in a name. The line was left out, and where it was Transfer-Encoding or Content-Length the body was another than that of the replica, in answers over many shards too.

Cause: http.ReadResponse accepts names with spaces and does not take them for the names that they resemble, so a body with such a framing header is read to the end of the connection. Names with control bytes and other characters that are not allowed failed already, those after an informational reply too.

--- a/entry/exchange/hostile_test.go
+++ b/entry/exchange/hostile_test.go
@@ -279,6 +279,30 @@
 	}
 }
 
+// Guards against a reply with an invalid name of a header that is taken for an answer. The
+// body of one whose framing headers have such names is not that of the replica.
+func TestReplyWithInvalidHeaderNameIsNoAnswer(t *testing.T) {
+	for _, name := range []string{
+		"X Y", "X ", "X\t", "X\tY", "X\x00Y", "X\x01", "\x0bX", "X\x1fY", "X\rY", "X\x7f", "", "X\x80", "(X)",
+	} {
+		t.Run(fmt.Sprintf("%q", name), func(t *testing.T) {
+			requireGarbled(t, strings.Replace(completeReply, "Seal", name+": x\r\nSeal", 1))
+			requireGarbled(t, "HTTP/1.1 103 Early Hints\r\n"+name+": x\r\n\r\n"+completeReply)
+		})
+	}
+	const head = "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\n"
+	for name, text := range map[string]string{
+		"length":         head + "Content-Length : 4\r\n\r\nbodyrest!",
+		"second length":  head + "Content-Length: 4\r\nContent-Length : 8\r\n\r\nbodyrest",
+		"chunks":         head + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n!",
+		"encoding":       head + "Content-Encoding : gzip\r\nContent-Length: 4\r\n\r\nbody",
+		"first header":   "HTTP/1.1 200 OK\r\n Content-Length: 4\r\nId: r1\r\nSeal: s\r\n\r\nbody",
+		"no field colon": head + "Content-Length 4\r\n\r\nbody!",
+	} {
+		t.Run(name, func(t *testing.T) { requireGarbled(t, text) })
+	}
+}
+
 // requireGarbled checks that a reply to the first or to a later request on a connection
 // ends the exchange as garbled before its deadline, and that the connection is closed.
 func requireGarbled(t *testing.T, text string) {
--- a/entry/upstreams/exchange_test.go
+++ b/entry/upstreams/exchange_test.go
@@ -180,6 +180,14 @@
 		{"status 000", replyWithStatus("000 Odd", ""), longDeadline, upstream.Failed, false},
 		{"status 099", replyWithStatus("099 Odd", ""), longDeadline, upstream.Failed, false},
 		{"status 600", replyWithStatus("600 Odd", ""), longDeadline, upstream.Failed, false},
+		{"blank in a header name", replyWithChange("Lovagegap-Boot", "X Y: 1\r\nLovagegap-Boot"), longDeadline, upstream.Failed, false},
+		{"blank after a header name", replyWithChange("Lovagegap-Boot", "X : 1\r\nLovagegap-Boot"), longDeadline, upstream.Failed, false},
+		{"control byte in a header name", replyWithChange("Lovagegap-Boot", "X\x01: 1\r\nLovagegap-Boot"), longDeadline, upstream.Failed, false},
+		{"length with an invalid name", func(c net.Conn, r *http.Request, _ int) {
+			// The bytes after the body would make it another valid one.
+			fmt.Fprint(c, strings.Replace(replyHead(r, 1), "Content-Length", "Content-Length ", 1), "12")
+			_ = c.Close()
+		}, longDeadline, upstream.Failed, false},
 		{"more bytes than announced", func(c net.Conn, r *http.Request, _ int) {
 			fmt.Fprint(c, replyHead(r, len(validBody)), validBody, "more")
 		}, longDeadline, upstream.OK, false},
