exchange, upstreams: a reply with a folded line in its head is no answer

Callers saw: status 200 from a reply in which a header began with a space or a tab, with that line in the value of the header before; with a body that was longer than the replica stated where the line was Content-Length.

Cause: http.ReadResponse joins a line that begins with white space to the one before. HTTP permits that, but no sender may use such lines (RFC 9112, section 5.2), and the result does not tell that lines were joined.

Change: HeadReader, which sees the bytes of each head, looks at the first byte of each line. ReadResponse is its method now and rejects a head with a folded line, which the same section permits for gateways. Bytes of a head that were read with an earlier reply are looked at too.

--- a/entry/body/body.go
+++ b/entry/body/body.go
@@ -2,8 +2,12 @@
 //
 // # Usage
 //
-//	response, err := body.ReadResponse(reader, request)
+//	head := body.NewHeadReader(connection)
+//	reader := bufio.NewReader(head)
+//	head.BeginHead(nil)
+//	response, err := head.ReadResponse(reader, request)
 //	if errors.Is(err, body.ErrInvalid) { … }
+//	head.EndHead()
 //
 //	data, err := body.Read(response, 4<<20, nil)
 //	if errors.Is(err, body.ErrOversized) { … }
--- a/entry/body/body_test.go
+++ b/entry/body/body_test.go
@@ -1,6 +1,7 @@
 package body
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"testing"
 	"testing/iotest"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -120,7 +122,7 @@
 	memory := NewMemory(40 << 10)
 	read := func() (*HeadReader, error) {
 		h := NewHeadReader(endless{}).WithMemory(memory)
-		h.BeginHead()
+		h.BeginHead(nil)
 		_, err := h.Read(make([]byte, 10<<10))
 		return h, err
 	}
@@ -146,3 +148,37 @@
 	assert.Zero(t, memory.Used())
 	(*Holding)(nil).Release()
 }
+
+// Guards against a line that continues the one before it and is missed because of where a
+// read ends, and against a sound reply that is rejected because of its body or its end.
+func TestFoldedLinesAreInvalid(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nA: 1\r\n"
+	for text, valid := range map[string]bool{
+		head + "\r\n body\r\n\tbody":                          true,
+		"HTTP/1.1 200 OK\nA: 1\n\n body\n body":               true,
+		head + "B:\r\nC: \r\n\r\n":                            true,
+		head + "C: " + strings.Repeat(" x", 100) + "\r\n\r\n": true,
+		head + " B: 1\r\n\r\n":                                false,
+		head + "\tB: 1\r\n\r\n":                               false,
+		head + " \r\nB: 1\r\n\r\n":                            false,
+		"HTTP/1.1 200 OK\nA: 1\n B: 1\n\n":                    false,
+	} {
+		for name, source := range map[string]io.Reader{
+			"whole": strings.NewReader(text), "bytes": iotest.OneByteReader(strings.NewReader(text)),
+			"buffered": nil,
+		} {
+			h, buffered := NewHeadReader(source), []byte(nil)
+			reader := bufio.NewReaderSize(h, 16)
+			if source == nil {
+				reader, buffered = bufio.NewReader(strings.NewReader(text)), []byte(text)
+			}
+			h.BeginHead(buffered)
+			_, err := h.ReadResponse(reader, nil)
+			if valid {
+				assert.NoError(t, err, "%q, %s", text, name)
+			} else {
+				assert.True(t, errors.Is(err, ErrInvalid), "%q, %s: %v", text, name, err)
+			}
+		}
+	}
+}
--- a/entry/body/head.go
+++ b/entry/body/head.go
@@ -29,6 +29,11 @@
 	lines    int // of the present head, as far as it was read
 	bytes    int64
 	reserved int64
+
+	complete   bool // whether the empty line that ends the present head was read
+	lineBytes  int  // of the line that is being read, without the line feed
+	lineFirst  byte // first byte of that line
+	lineFolded bool // whether a line of the present head begins with white space
 }
 
 // NewHeadReader returns a reader of the connection.
@@ -40,10 +45,31 @@
 	return h
 }
 
-// BeginHead is called before the head of a message is read.
-func (h *HeadReader) BeginHead() {
+// BeginHead is called before the head of a message is read. The buffered bytes are those of
+// the message that were read with an earlier one; they count neither as lines nor as memory.
+func (h *HeadReader) BeginHead(buffered []byte) {
 	h.EndHead()
 	h.inHead, h.lines, h.bytes = true, 0, 0
+	h.complete, h.lineBytes, h.lineFolded = false, 0, false
+	h.scan(buffered)
+}
+
+// scan looks for lines that begin with white space in the next bytes of the head. It
+// ignores what follows the head.
+func (h *HeadReader) scan(text []byte) {
+	for len(text) > 0 && !h.complete {
+		line, rest, ended := bytes.Cut(text, []byte{'\n'})
+		if h.lineBytes == 0 && len(line) > 0 {
+			h.lineFirst = line[0]
+			h.lineFolded = h.lineFolded || line[0] == ' ' || line[0] == '\t'
+		}
+		h.lineBytes += len(line)
+		if ended {
+			h.complete = h.lineBytes == 0 || h.lineBytes == 1 && h.lineFirst == '\r'
+			h.lineBytes = 0
+		}
+		text = rest
+	}
 }
 
 // EndHead is called when the head is complete or given up; what follows is not bounded.
@@ -62,6 +88,7 @@
 	}
 	n, err := h.inner.Read(b)
 	if h.inHead {
+		h.scan(b[:n])
 		h.lines += bytes.Count(b[:n], []byte{'\n'})
 		h.bytes += int64(n)
 		if missing := h.bytes*headByteFactor + int64(h.lines)*headLineBytes - smallHeadBytes - h.reserved; missing > 0 {
--- a/entry/body/response.go
+++ b/entry/body/response.go
@@ -17,14 +17,19 @@
 	maxStatus = 599
 )
 
-// ReadResponse reads the head of a response. It is http.ReadResponse with stricter checks:
-// it returns ErrInvalid for a status outside the range of HTTP, and for a name of a header
-// that is no token, such as one with a space.
-func ReadResponse(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
+// ReadResponse reads the head of a response, which BeginHead has begun, from reader, which
+// reads from h. It is http.ReadResponse with stricter checks: it returns ErrInvalid for a
+// status outside the range of HTTP, for a name of a header that is no token, such as one with
+// a space, and for a line that begins with white space. Such a line continues the value of
+// the line before, which senders must not use and gateways may reject (RFC 9112, section 5.2).
+func (h *HeadReader) ReadResponse(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
 	response, err := http.ReadResponse(reader, request)
 	if err != nil {
 		return nil, err
 	}
+	if h.lineFolded {
+		return nil, errors.Wrap(ErrInvalid, "line that begins with white space")
+	}
 	if err := checkHead(response); err != nil {
 		return nil, err
 	}
--- a/entry/exchange/conn.go
+++ b/entry/exchange/conn.go
@@ -94,12 +94,12 @@
 	c.replyBegun = false
 	for range maxReplies {
 		c.limited.N = maxHeaderBytes
-		c.head.BeginHead()
+		c.head.BeginHead(c.buffered())
 		if _, err := c.reader.Peek(1); err != nil {
 			return nil, false, err
 		}
 		c.replyBegun = true
-		response, err := body.ReadResponse(c.reader, request)
+		response, err := c.head.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, false, c.readError(err)
 		}
@@ -126,6 +126,13 @@
 	return nil, false, errOtherReplies
 }
 
+// buffered returns the bytes that were read with an earlier reply. They are valid until the
+// next read.
+func (c *conn) buffered() []byte {
+	text, _ := c.reader.Peek(c.reader.Buffered())
+	return text
+}
+
 // recordConnectionHeaders records what a reply says about the connection.
 func (c *conn) recordConnectionHeaders(response *http.Response) {
 	c.closing = response.Close
--- a/entry/exchange/hostile_test.go
+++ b/entry/exchange/hostile_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/replica"
@@ -292,6 +293,11 @@
 	}
 	const head = "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\n"
 	for name, text := range map[string]string{
+		"folded":         strings.Replace(completeReply, "Seal", "X: 1\r\n Seal: t\r\nSeal", 1),
+		"folded by tab":  strings.Replace(completeReply, "Seal", "X: 1\n\tSeal: t\r\nSeal", 1),
+		"folded length":  head + " Content-Length: 4\r\n\r\nbodyrest!",
+		"folded, hints":  "HTTP/1.1 103 Early Hints\r\nX: 1\r\n Y: 1\r\n\r\n" + completeReply,
+		"folded, other":  strings.Replace(completeReply, "r1", "r0", 1) + strings.Replace(completeReply, "Seal", "X: 1\r\n Y: 1\r\nSeal", 1),
 		"length":         head + "Content-Length : 4\r\n\r\nbodyrest!",
 		"second length":  head + "Content-Length: 4\r\nContent-Length : 8\r\n\r\nbodyrest",
 		"chunks":         head + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n!",
@@ -323,7 +329,7 @@
 }
 
 // FuzzReadReply guards against bytes of a replica that end the process, exceed the
-// limits, or pass as an answer without its seal.
+// limits, or pass as an answer without its seal or with an invalid head.
 func FuzzReadReply(f *testing.F) {
 	for _, texts := range endlessReplies {
 		f.Add([]byte(texts[0] + texts[1]))
@@ -332,6 +338,7 @@
 		completeReply, completeReply + completeReply, "HTTP/1.1 503 Full\r\nRetry-After: 1e400\r\nLeaving: 1\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=99999999999999999999\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 000 Odd\r\n\r\n" + completeReply, "HTTP/1.1 200 OK\r\nX : 1\r\n Y: 2\r\nSeal: s\r\n\r\n",
 		"HTTP/1.1 999999999 OK\r\n\r\n", "HTTP/9.9 200 OK\r\n\r\n",
 	} {
 		f.Add([]byte(text))
@@ -361,6 +368,14 @@
 		if x.classify(reply) == replica.OK && reply.Status() < 300 && reply.Seal() == "" {
 			t.Fatal("success without a seal")
 		}
+		if reply.Status() < 200 || reply.Status() > 599 {
+			t.Fatal("reply with an invalid status")
+		}
+		for name := range reply.Header() {
+			if !httpguts.ValidHeaderFieldName(name) {
+				t.Fatal("reply with an invalid name of a header")
+			}
+		}
 		if after := reply.Notices().RetryAfter; after < 0 || after != after {
 			t.Fatal("invalid time to retry")
 		}
--- a/entry/upstreams/conn.go
+++ b/entry/upstreams/conn.go
@@ -107,8 +107,8 @@
 
 func (c *conn) readReply(method *http.Request) (reply, error) {
 	c.limited.N = maxHeadBytes
-	c.head.BeginHead()
-	response, err := body.ReadResponse(c.reader, method)
+	c.head.BeginHead(nil) // a connection with buffered bytes is not reused
+	response, err := c.head.ReadResponse(c.reader, method)
 	if err != nil {
 		return reply{}, c.classifyReadError(err)
 	}
--- a/entry/upstreams/exchange_test.go
+++ b/entry/upstreams/exchange_test.go
@@ -183,6 +183,7 @@
 		{"blank in a header name", replyWithChange("Lovagegap-Boot", "X Y: 1\r\nLovagegap-Boot"), longDeadline, upstream.Failed, false},
 		{"blank after a header name", replyWithChange("Lovagegap-Boot", "X : 1\r\nLovagegap-Boot"), longDeadline, upstream.Failed, false},
 		{"control byte in a header name", replyWithChange("Lovagegap-Boot", "X\x01: 1\r\nLovagegap-Boot"), longDeadline, upstream.Failed, false},
+		{"folded line", replyWithChange("Lovagegap-Boot", "X: 1\r\n Y: 1\r\nLovagegap-Boot"), longDeadline, upstream.Failed, false},
 		{"length with an invalid name", func(c net.Conn, r *http.Request, _ int) {
 			// The bytes after the body would make it another valid one.
 			fmt.Fprint(c, strings.Replace(replyHead(r, 1), "Content-Length", "Content-Length ", 1), "12")
