platform, gateway: a reply with an invalid name of a header is no data

Callers saw: no case is known. A daemon took data from such a reply of the platform's store, of the platform or of another daemon: a configuration, a grant of tokens or parts of an answer, which it then gave to a caller.

Cause: as for replies of replicas, http.Client accepts names with spaces and reads a body without the framing header that such a name stands for. The formats of these bodies state their own end, so a wrong framing gave an error or the same data.

Change: body.StrictTransport makes the same checks for the clients of the store, the platform and peers; a rejected reply is an error of the call. A write whose reply is rejected has an unknown outcome, or is unavailable, as when the reply is lost.

--- a/entry/body/body.go
+++ b/entry/body/body.go
@@ -9,6 +9,8 @@
 //	if errors.Is(err, body.ErrInvalid) { … }
 //	head.EndHead()
 //
+//	client := http.Client{Transport: body.StrictTransport(&http.Transport{…})}
+//
 //	data, err := body.Read(response, 4<<20, nil)
 //	if errors.Is(err, body.ErrOversized) { … }
 //
--- a/entry/body/response.go
+++ b/entry/body/response.go
@@ -47,3 +47,25 @@
 	}
 	return nil
 }
+
+// transport is an http.Transport that checks the heads of responses.
+type transport struct {
+	*http.Transport
+}
+
+// StrictTransport returns a transport whose responses have a valid status and valid names of
+// headers; for others RoundTrip returns ErrInvalid. The inner transport joins folded lines.
+func StrictTransport(inner *http.Transport) http.RoundTripper { return transport{inner} }
+
+// RoundTrip implements http.RoundTripper.
+func (t transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(response); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
--- a/entry/gateway/allowances.go
+++ b/entry/gateway/allowances.go
@@ -17,6 +17,7 @@
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/fleet"
 	"github.com/lovagegap/lovagegap/core/route"
+	"github.com/lovagegap/lovagegap/entry/body"
 	"github.com/lovagegap/lovagegap/entry/codec"
 	"github.com/lovagegap/lovagegap/entry/routing"
 )
@@ -132,11 +133,11 @@
 		ended: make(map[*allowance.Call]chan struct{}),
 		client: &http.Client{
 			Timeout: policy.Lifetime().Duration(), // later tokens have expired
-			Transport: &http.Transport{
+			Transport: body.StrictTransport(&http.Transport{
 				DialContext:         (&net.Dialer{Timeout: policy.Lifetime().Duration(), KeepAlive: -1}).DialContext,
 				MaxIdleConnsPerHost: 1, MaxConnsPerHost: maxAllowanceConnsPerID, IdleConnTimeout: allowanceIdleTimeout,
 				DisableCompression: true,
-			},
+			}),
 		},
 	}
 }
--- a/entry/gateway/delegates.go
+++ b/entry/gateway/delegates.go
@@ -19,6 +19,7 @@
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/fleet"
 	"github.com/lovagegap/lovagegap/core/route"
+	"github.com/lovagegap/lovagegap/entry/body"
 	"github.com/lovagegap/lovagegap/entry/codec"
 	"github.com/lovagegap/lovagegap/entry/routing"
 )
@@ -179,10 +180,10 @@
 func newDelegates(c clock.Clock, self fleet.Member, key []byte, random *rand.Rand) *delegates {
 	return &delegates{
 		clock: c, self: self, key: key, random: random, avoidedUntil: make(map[string]clock.Millis),
-		client: &http.Client{Transport: &http.Transport{
+		client: &http.Client{Transport: body.StrictTransport(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1}).DialContext,
 			MaxIdleConnsPerHost: 16, IdleConnTimeout: 20 * time.Second, DisableCompression: true,
-		}},
+		})},
 	}
 }
 
--- a/entry/gateway/mirror_peer.go
+++ b/entry/gateway/mirror_peer.go
@@ -20,6 +20,7 @@
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/mirror"
 	"github.com/lovagegap/lovagegap/core/replica"
+	"github.com/lovagegap/lovagegap/entry/body"
 	"github.com/lovagegap/lovagegap/entry/codec"
 	"github.com/lovagegap/lovagegap/entry/connlimit"
 	"github.com/lovagegap/lovagegap/entry/peers"
@@ -200,10 +201,10 @@
 	return hex.EncodeToString(mac.Sum(nil))
 }
 
-var mirrorClient = &http.Client{Transport: &http.Transport{
+var mirrorClient = &http.Client{Transport: body.StrictTransport(&http.Transport{
 	DialContext:         (&net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1}).DialContext,
 	MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second,
-}}
+})}
 
 // fetchMirror requests the changes of the mirror of a peer.
 func fetchMirror(ctx context.Context, key []byte, peer string, request mirrorRequest) (mirrorReply, error) {
--- a/entry/platform/platform.go
+++ b/entry/platform/platform.go
@@ -22,6 +22,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/lovagegap/lovagegap/entry/body"
 )
 
 // Sentinel errors of the platform client.
@@ -140,7 +142,7 @@
 	}
 	return &Client{
 		baseURL: baseURL, callTimeout: defaultCallTimeout, pollWait: defaultPollWait,
-		http: http.Client{Transport: transport},
+		http: http.Client{Transport: body.StrictTransport(transport)},
 	}
 }
 
--- a/entry/platform/platform_test.go
+++ b/entry/platform/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"maps"
 	"net/http"
 	"net/http/httptest"
@@ -311,3 +312,36 @@
 		})
 	}
 }
+
+// Guards against a reply of the platform that is no valid HTTP and that is taken for data,
+// or for a write that has taken effect.
+func TestInvalidReplyIsUnavailable(t *testing.T) {
+	const valid = "HTTP/1.1 200 OK\r\nX: 1\r\nContent-Length: 14\r\n\r\n" + `{"revision":9}`
+	for name, change := range map[string][2]string{
+		"status 000":                {"200", "000"},
+		"status 999":                {"200", "999"},
+		"blank in a header name":    {"X: 1", "X Y: 1"},
+		"blank after a header name": {"X: 1", "X : 1"},
+		"control byte in a name":    {"X: 1", "X\x01: 1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+					_, _ = io.WriteString(c, strings.Replace(valid, change[0], change[1], 1))
+					_ = c.Close()
+				}
+			}))
+			defer web.Close()
+			client := platform.New(web.URL)
+			defer client.Close()
+			_, err := client.Get(t.Context(), key)
+			requireIs(t, err, platform.ErrUnavailable)
+			_, err = client.Watch(t.Context(), key, 1)
+			requireIs(t, err, platform.ErrUnavailable)
+			_, err = client.VMs(t.Context())
+			requireIs(t, err, platform.ErrUnavailable)
+			_, err = client.CompareAndSwap(t.Context(), key, nil, 0)
+			requireIs(t, err, platform.ErrUnknownOutcome)
+		})
+	}
+}
