lovagegapctl: a reply with a status below 200 is no success

Operators saw: success of check, drain and apply, and settings that were in force nowhere, from a reply with status 000 or 099.

Cause: the client of the operators' port took every status below 300 for a success.

Change: only 200 to 299 are. Below 200 a read, check or drain is refused (ErrRefused, as for a malformed reply), and the outcome of a change is unknown.

--- a/lovagegapctl/internal/operators/client.go
+++ b/lovagegapctl/internal/operators/client.go
@@ -178,14 +178,14 @@
 	return applied, err
 }
 
-// applyResult returns the result of a change. A status of 500 and above and a
-// malformed reply leave the outcome unknown.
+// applyResult returns the result of a change. A status of 500 and above, or below
+// 200, and a malformed reply leave the outcome unknown.
 func (r reply) applyResult() (Applied, error) {
 	var zero Applied
 	switch {
 	case r.status == http.StatusConflict:
 		return zero, r.conflictError()
-	case r.status >= http.StatusInternalServerError:
+	case r.status >= http.StatusInternalServerError, r.status < http.StatusOK:
 		return zero, errors.Wrapf(ErrUnknownOutcome, "%s", r.description())
 	}
 	if err := r.statusError(); err != nil {
@@ -318,10 +318,10 @@
 	body    []byte
 }
 
-// statusError returns the error for a status of 300 and above: a settings.Error for
+// statusError returns the error for a status that is no success: a settings.Error for
 // a 422 with problems, otherwise one that wraps ErrRefused.
 func (r reply) statusError() error {
-	if r.status < http.StatusMultipleChoices {
+	if r.status >= http.StatusOK && r.status < http.StatusMultipleChoices {
 		return nil
 	}
 	if r.status == http.StatusUnprocessableEntity {
