load: a reply with a status without a name is no answer

Cause: the load generator takes the name of a status as the code of its error when the reply states none, and a result without a code is an answer. Status 000 and others without a name counted as complete answers.

Change: the code of such a reply is bad-status.

Result: TestUnnamedStatusIsNoAnswer failed before at status 000 (40 of 40 counted as answered); it passes now, with the other tests of lovagegap-standin.

--- a/lovagegap-standin/load/caller.go
+++ b/lovagegap-standin/load/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -205,10 +206,7 @@
 	}
 	r := result{latency: latency, body: text, shardsTotal: wire.Coverage.Asked, shardsCovered: wire.Coverage.Covered}
 	if status != http.StatusOK {
-		r.errorCode = wire.Error.Code
-		if r.errorCode == "" {
-			r.errorCode = http.StatusText(status)
-		}
+		r.errorCode = cmp.Or(wire.Error.Code, http.StatusText(status), "bad-status")
 	}
 	return r
 }
--- a/lovagegap-standin/load/load_test.go
+++ b/lovagegap-standin/load/load_test.go
@@ -156,3 +156,22 @@
 	require.NoError(t, err)
 	require.True(t, report.Failed(), "a run without queries has failed")
 }
+
+// Guards against a reply whose status has no name, such as 000, that counts as an answer.
+func TestUnnamedStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "099", "299", "700"} {
+		entry, _ := startDaemon(t, func(w http.ResponseWriter, _ int64) {
+			if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+				const text = `{"coverage":{"asked":4,"covered":4}}`
+				fmt.Fprintf(c, "HTTP/1.1 %s Odd\r\nContent-Length: %d\r\n\r\n%s", status, len(text), text)
+				_ = c.Close()
+			}
+		})
+		report, err := Run(t.Context(), testOptions(entry))
+		require.NoError(t, err)
+		s := report.Summaries()[0]
+		require.Equal(t, 40, s.Sent)
+		require.Zero(t, s.Answered, status)
+		require.Zero(t, s.Complete, status)
+	}
+}
