tests of clients: invalid responses announce that their connection closes

The load test lost queries the same way.

Change: the responses have Connection: close. The load test requires the code of all 40 queries.

--- a/entry/body/bodytest/bodytest.go
+++ b/entry/body/bodytest/bodytest.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	for name, text := range bodytest.InvalidHeads("HTTP/1.1 200 OK\r\nX: 1\r\n\r\n") {
+//	for name, text := range bodytest.InvalidHeads("HTTP/1.1 200 OK\r\nX: 1\r\nConnection: close\r\n\r\n") {
 //		address := bodytest.Serve(t, text)
 //		…
 //	}
@@ -31,7 +31,8 @@
 }
 
 // Serve starts a server that answers each request with a text and then closes the
-// connection. It returns the address, and ends the server at the end of the test.
+// connection, so the text should have the header "Connection: close". It returns the address,
+// and ends the server at the end of the test.
 func Serve(t testing.TB, text string) string {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
--- a/entry/gateway/delegates_test.go
+++ b/entry/gateway/delegates_test.go
@@ -187,7 +187,7 @@
 func TestInvalidReplyOfPeerIsAnError(t *testing.T) {
 	text, err := codec.Encode(struct{}{})
 	require.NoError(t, err)
-	valid := fmt.Sprintf("HTTP/1.1 200 OK\r\nX: 1\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	valid := fmt.Sprintf("HTTP/1.1 200 OK\r\nX: 1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
 	c, random := &clock.Manual{}, rand.New(rand.NewPCG(1, 2))
 	d := newDelegates(c.Clock(), newServingMember("10.0.0.1:1", "a", "west"), nil, random)
 	a := newAllowances(c.Clock(), Config{PeerAddress: "10.0.0.1:1"}, random)
--- a/entry/platform/platform_test.go
+++ b/entry/platform/platform_test.go
@@ -316,7 +316,7 @@
 // Guards against a reply of the platform that is no valid HTTP and that is taken for data,
 // or for a write that has taken effect.
 func TestInvalidReplyIsUnavailable(t *testing.T) {
-	const head = "HTTP/1.1 200 OK\r\nX: 1\r\nContent-Length: "
+	const head = "HTTP/1.1 200 OK\r\nX: 1\r\nConnection: close\r\nContent-Length: "
 	value, list := head+"14\r\n\r\n"+`{"revision":9}`, head+"2\r\n\r\n[]"
 	for _, c := range []struct {
 		name, valid string
--- a/lovagegap-standin/load/load_test.go
+++ b/lovagegap-standin/load/load_test.go
@@ -163,7 +163,7 @@
 		entry, _ := startDaemon(t, func(w http.ResponseWriter, _ int64) {
 			if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
 				const text = `{"coverage":{"asked":4,"covered":4}}`
-				fmt.Fprintf(c, "HTTP/1.1 %s Odd\r\nContent-Length: %d\r\n\r\n%s", status, len(text), text)
+				fmt.Fprintf(c, "HTTP/1.1 %s Odd\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", status, len(text), text)
 				_ = c.Close()
 			}
 		})
@@ -172,6 +172,6 @@
 		s := report.Summaries()[0]
 		require.Equal(t, 40, s.Sent)
 		require.Zero(t, s.Answered, status)
-		require.Zero(t, s.Complete, status)
+		require.Equal(t, map[string]int{"bad-status": 40}, s.Errors, status)
 	}
 }
--- a/lovagegapctl/internal/operators/client_test.go
+++ b/lovagegapctl/internal/operators/client_test.go
@@ -20,7 +20,7 @@
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				_, _ = io.Copy(io.Discard, r.Body)
 				if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
-					_, _ = io.WriteString(c, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 14\r\n\r\n"+`{"revision":9}`)
+					_, _ = io.WriteString(c, "HTTP/1.1 "+status+" Odd\r\nConnection: close\r\nContent-Length: 14\r\n\r\n"+`{"revision":9}`)
 					_ = c.Close()
 				}
 			}))
