exchange, upstreams: a reply with unknown framing is no answer

Callers saw: status 200 with the framing of chunks in the body, from a reply of version 1.0 with Transfer-Encoding; and status 200 from a reply of any version, such as HTTP/9.9.

Cause: http.ReadResponse accepts each version of two digits, and before HTTP/1.1 it removes Transfer-Encoding from the headers without using it.

Change: ReadResponse rejects versions other than HTTP/1 (StrictTransport too), and, by the lines of the head, a Transfer-Encoding before HTTP/1.1, for which RFC 9112, section 6.1, requires a recipient to treat the framing as faulty. Other replies of version 1.0 pass as before.

Result: on the code before, TestReplyWithFramingOfOtherVersionIsNoAnswer failed in its 6 invalid cases (ok), TestExchangeOutcomes in 2 (OK), TestInvalidReplyReachesNoCaller in 2 (200 instead of 502, records "10\r\nzzzzzzzzzzzz") and the tests of the clients of store, platform and peers for version 9.9 (no error). They pass now, with the tests of entry/body, exchange, upstreams, platform and gateway; 30 s of FuzzReadReply found nothing.

--- a/entry/body/body_test.go
+++ b/entry/body/body_test.go
@@ -149,19 +149,22 @@
 	(*Holding)(nil).Release()
 }
 
-// Guards against a line that continues the one before it and is missed because of where a
-// read ends, and against a sound reply that is rejected because of its body or its end.
-func TestFoldedLinesAreInvalid(t *testing.T) {
+// Guards against an invalid line of a head that is missed because of where a read ends, and
+// against a sound reply that is rejected because of its body or its end.
+func TestInvalidLinesOfHeadAreFound(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nA: 1\r\n"
 	for text, valid := range map[string]bool{
-		head + "\r\n body\r\n\tbody":                          true,
-		"HTTP/1.1 200 OK\nA: 1\n\n body\n body":               true,
-		head + "B:\r\nC: \r\n\r\n":                            true,
-		head + "C: " + strings.Repeat(" x", 100) + "\r\n\r\n": true,
-		head + " B: 1\r\n\r\n":                                false,
-		head + "\tB: 1\r\n\r\n":                               false,
-		head + " \r\nB: 1\r\n\r\n":                            false,
-		"HTTP/1.1 200 OK\nA: 1\n B: 1\n\n":                    false,
+		head + "\r\n body\r\n\tbody":                              true,
+		"HTTP/1.1 200 OK\nA: 1\n\n body\n body":                   true,
+		head + "B:\r\nC: \r\n\r\n":                                true,
+		head + "C: " + strings.Repeat(" x", 100) + "\r\n\r\n":     true,
+		head + " B: 1\r\n\r\n":                                    false,
+		head + "\tB: 1\r\n\r\n":                                   false,
+		head + " \r\nB: 1\r\n\r\n":                                false,
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n":   false,
+		"HTTP/1.0 200 OK\r\nTransfer-Encodings: chunked\r\n\r\n":  true,
+		"HTTP/1.0 200 OK\r\nA: 1\r\n\r\nTransfer-Encoding: x\r\n": true,
+		"HTTP/1.1 200 OK\nA: 1\n B: 1\n\n":                        false,
 	} {
 		for name, source := range map[string]io.Reader{
 			"whole": strings.NewReader(text), "bytes": iotest.OneByteReader(strings.NewReader(text)),
--- a/entry/body/bodytest/bodytest.go
+++ b/entry/body/bodytest/bodytest.go
@@ -17,16 +17,17 @@
 )
 
 // InvalidHeads returns variants of a response, by name, whose heads are not valid HTTP. The
-// response must have the status 200 and a header "X: 1".
+// response must have the version HTTP/1.1, the status 200 and a header "X: 1".
 func InvalidHeads(response string) map[string]string {
 	return map[string]string{
-		"status 000":                     strings.Replace(response, "200", "000", 1),
-		"status 999":                     strings.Replace(response, "200", "999", 1),
-		"space in a header name":         strings.Replace(response, "X: 1", "X Y: 1", 1),
-		"space after a header name":      strings.Replace(response, "X: 1", "X : 1", 1),
-		"tab after a header name":        strings.Replace(response, "X: 1", "X\t: 1", 1),
-		"control byte in a header name":  strings.Replace(response, "X: 1", "X\x01: 1", 1),
-		"header name of no bytes at all": strings.Replace(response, "X: 1", ": 1", 1),
+		"version 9.9":                   strings.Replace(response, "HTTP/1.1", "HTTP/9.9", 1),
+		"status 000":                    strings.Replace(response, "200", "000", 1),
+		"status 999":                    strings.Replace(response, "200", "999", 1),
+		"space in a header name":        strings.Replace(response, "X: 1", "X Y: 1", 1),
+		"space after a header name":     strings.Replace(response, "X: 1", "X : 1", 1),
+		"tab after a header name":       strings.Replace(response, "X: 1", "X\t: 1", 1),
+		"control byte in a header name": strings.Replace(response, "X: 1", "X\x01: 1", 1),
+		"empty header name":             strings.Replace(response, "X: 1", ": 1", 1),
 	}
 }
 
--- a/entry/body/head.go
+++ b/entry/body/head.go
@@ -20,6 +20,9 @@
 	headStepBytes = 16 << 10
 )
 
+// transferEncoding begins the line of a header that http.ReadResponse removes.
+const transferEncoding = "transfer-encoding:"
+
 // HeadReader reads from a connection and bounds the lines of the heads on it, and the
 // memory that the heads on all connections take. Its ReadResponse rejects invalid heads. It
 // is not safe for concurrent use.
@@ -31,10 +34,11 @@
 	bytes    int64
 	reserved int64
 
-	complete   bool // whether the empty line that ends the present head was read
-	lineBytes  int  // of the line that is being read, without the line feed
-	lineFirst  byte // first byte of that line
-	lineFolded bool // whether a line of the present head begins with white space
+	complete        bool // whether the empty line that ends the present head was read
+	lineBytes       int  // of the line that is being read, without the line feed
+	linePrefix      [len(transferEncoding)]byte
+	folded          bool // whether a line of the present head begins with white space
+	transferEncoded bool // whether the present head has a Transfer-Encoding header
 }
 
 // NewHeadReader returns a reader of the connection.
@@ -51,28 +55,37 @@
 func (h *HeadReader) BeginHead(buffered []byte) {
 	h.EndHead()
 	h.inHead, h.lines, h.bytes = true, 0, 0
-	h.complete, h.lineBytes, h.lineFolded = false, 0, false
+	h.complete, h.lineBytes, h.folded, h.transferEncoded = false, 0, false, false
 	h.scan(buffered)
 }
 
-// scan looks for lines that begin with white space in the next bytes of the head. It
-// ignores what follows the head.
+// scan inspects the lines in the next bytes of the head. It ignores what follows the head.
 func (h *HeadReader) scan(text []byte) {
 	for len(text) > 0 && !h.complete {
 		line, rest, ended := bytes.Cut(text, []byte{'\n'})
-		if h.lineBytes == 0 && len(line) > 0 {
-			h.lineFirst = line[0]
-			h.lineFolded = h.lineFolded || line[0] == ' ' || line[0] == '\t'
-		}
+		copy(h.linePrefix[min(h.lineBytes, len(h.linePrefix)):], line)
 		h.lineBytes += len(line)
 		if ended {
-			h.complete = h.lineBytes == 0 || h.lineBytes == 1 && h.lineFirst == '\r'
+			h.inspectLine(h.linePrefix[:min(h.lineBytes, len(h.linePrefix))])
 			h.lineBytes = 0
 		}
 		text = rest
 	}
 }
 
+// inspectLine inspects a line of the head by its first bytes, which include a carriage
+// return if they are the whole line.
+func (h *HeadReader) inspectLine(prefix []byte) {
+	switch {
+	case len(prefix) == 0, string(prefix) == "\r":
+		h.complete = true
+	case prefix[0] == ' ', prefix[0] == '\t':
+		h.folded = true
+	case bytes.EqualFold(prefix, []byte(transferEncoding)):
+		h.transferEncoded = true
+	}
+}
+
 // EndHead is called when the head is complete or given up; what follows is not bounded.
 func (h *HeadReader) EndHead() {
 	h.inHead = false
--- a/entry/body/response.go
+++ b/entry/body/response.go
@@ -18,17 +18,24 @@
 )
 
 // ReadResponse reads the head of a response, which BeginHead has begun, from reader, which
-// reads from h. It is http.ReadResponse with stricter checks: it returns ErrInvalid for a
-// status outside the range of HTTP, for a name of a header that is no token, such as one with
-// a space, and for a line that begins with white space. Such a line continues the value of
-// the line before, which senders must not use and gateways may reject (RFC 9112, section 5.2).
+// reads from h. It is http.ReadResponse with stricter checks. It returns ErrInvalid for
+//
+//   - a version other than HTTP/1,
+//   - a status outside the range of HTTP,
+//   - a name of a header that is no token, such as one with a space,
+//   - a line that begins with white space, and so continues the value of the line before,
+//     which senders must not use and gateways may reject (RFC 9112, section 5.2),
+//   - a Transfer-Encoding before HTTP/1.1, with which the framing is unknown (section 6.1).
 func (h *HeadReader) ReadResponse(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
 	response, err := http.ReadResponse(reader, request)
 	if err != nil {
 		return nil, err
 	}
-	if h.lineFolded {
+	switch {
+	case h.folded:
 		return nil, errors.Wrap(ErrInvalid, "line that begins with white space")
+	case h.transferEncoded && !response.ProtoAtLeast(1, 1):
+		return nil, errors.Wrapf(ErrInvalid, "transfer encoding in %s", response.Proto)
 	}
 	if err := checkHead(response); err != nil {
 		return nil, err
@@ -37,6 +44,9 @@
 }
 
 func checkHead(response *http.Response) error {
+	if response.ProtoMajor != 1 {
+		return errors.Wrapf(ErrInvalid, "version %q", response.Proto)
+	}
 	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
 		return errors.Wrapf(ErrInvalid, "status %d", response.StatusCode)
 	}
@@ -53,8 +63,9 @@
 	*http.Transport
 }
 
-// StrictTransport returns a transport whose responses have a valid status and valid names of
-// headers; for others RoundTrip returns ErrInvalid. The inner transport joins folded lines.
+// StrictTransport returns a transport whose responses have a valid version, status and names
+// of headers; for others RoundTrip returns ErrInvalid. It does not see the lines of the head,
+// so it accepts folded ones and a Transfer-Encoding before HTTP/1.1.
 func StrictTransport(inner *http.Transport) http.RoundTripper { return transport{inner} }
 
 // RoundTrip implements http.RoundTripper.
--- a/entry/exchange/hostile_test.go
+++ b/entry/exchange/hostile_test.go
@@ -309,6 +309,34 @@
 	}
 }
 
+// Guards against a reply whose framing is unknown because of its version, and whose bytes
+// are taken for the body, and against a sound reply of an older version that is rejected.
+func TestReplyWithFramingOfOtherVersionIsNoAnswer(t *testing.T) {
+	const headers = "Id: r1\r\nSeal: s\r\n"
+	for name, text := range map[string]string{
+		"version 2.0":              strings.Replace(completeReply, "1.1", "2.0", 1),
+		"version 9.9":              strings.Replace(completeReply, "1.1", "9.9", 1),
+		"version 0.9":              strings.Replace(completeReply, "1.1", "0.9", 1),
+		"version 1.0, chunks":      "HTTP/1.0 200 OK\r\n" + headers + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n!",
+		"version 1.0, both":        "HTTP/1.0 200 OK\r\n" + headers + "tRANSFER-eNCODING:chunked\r\nContent-Length: 4\r\n\r\nbody",
+		"version 1.0, other reply": strings.Replace(completeReply, "r1", "r0", 1) + "HTTP/1.0 200 OK\r\n" + headers + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n!",
+	} {
+		t.Run(name, func(t *testing.T) { requireGarbled(t, text) })
+	}
+	for name, text := range map[string]string{
+		"version 1.0":                strings.Replace(completeReply, "1.1", "1.0", 1),
+		"version 1.0, until the end": "HTTP/1.0 200 OK\r\n" + headers + "X: Transfer-Encoding: chunked\r\nTransfer-Encodings: 1\r\n\r\nbody!",
+		"chunks":                     "HTTP/1.1 200 OK\r\n" + headers + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScriptedReplica(t, text)
+			reply, result := run(t, NewClient(clock.Clock{}, headerNames), s.spec("r1"))
+			require.Equal(t, replica.OK.String(), result.String())
+			assert.Equal(t, "body", string(reply.Body()))
+		})
+	}
+}
+
 // requireGarbled checks that a reply to the first or to a later request on a connection
 // ends the exchange as garbled before its deadline, and that the connection is closed.
 func requireGarbled(t *testing.T, text string) {
--- a/entry/upstreams/exchange_test.go
+++ b/entry/upstreams/exchange_test.go
@@ -180,9 +180,11 @@
 		{"status 000", replyWithStatus("000 Odd", ""), longDeadline, upstream.Failed, false},
 		{"status 099", replyWithStatus("099 Odd", ""), longDeadline, upstream.Failed, false},
 		{"status 600", replyWithStatus("600 Odd", ""), longDeadline, upstream.Failed, false},
-		{"blank in a header name", replyWithChange("Lovagegap-Boot", "X Y: 1\r\nLovagegap-Boot"), longDeadline, upstream.Failed, false},
-		{"blank after a header name", replyWithChange("Lovagegap-Boot", "X : 1\r\nLovagegap-Boot"), longDeadline, upstream.Failed, false},
+		{"space in a header name", replyWithChange("Lovagegap-Boot", "X Y: 1\r\nLovagegap-Boot"), longDeadline, upstream.Failed, false},
+		{"space after a header name", replyWithChange("Lovagegap-Boot", "X : 1\r\nLovagegap-Boot"), longDeadline, upstream.Failed, false},
 		{"control byte in a header name", replyWithChange("Lovagegap-Boot", "X\x01: 1\r\nLovagegap-Boot"), longDeadline, upstream.Failed, false},
+		{"version 9.9", replyWithChange("HTTP/1.1", "HTTP/9.9"), longDeadline, upstream.Failed, false},
+		{"transfer encoding of version 1.0", replyWithChange("HTTP/1.1 200 OK", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked"), longDeadline, upstream.Failed, false},
 		{"folded line", replyWithChange("Lovagegap-Boot", "X: 1\r\n Y: 1\r\nLovagegap-Boot"), longDeadline, upstream.Failed, false},
 		{"length with an invalid name", func(c net.Conn, r *http.Request, _ int) {
 			// The bytes after the body would make it another valid one.
