routing test: a caller that disconnects does so before the replica closes

Cause: the caller's context is cancelled before the request, whose replica closes the connection at once. If the test's goroutine stands still between the start of the request and the wait for its end, the request has ended by the lost connection first, and is logged as such, which is right.

Change: the replica closes the connection only after the caller has been answered, so the line must be written whatever the order; the check is as it was.

--- a/entry/routing/log_test.go
+++ b/entry/routing/log_test.go
@@ -300,10 +300,15 @@
 	assert.Equal(t, "no configuration loaded yet", line["reason"])
 
 	l.configure(singleRoute(false))
-	l.startReplica("s0", "i-lost", closeConnection)
+	disconnected := make(chan struct{}) // the replica must not end the request before the caller does
+	l.startReplica("s0", "i-lost", func(w http.ResponseWriter, r *http.Request) {
+		<-disconnected
+		closeConnection(w, r)
+	})
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	l.serve(ctx, "r1")
+	close(disconnected)
 	require.NotNil(t, l.findLine("caller disconnected"))
 
 	l.serve(t.Context(), "r2")
