gateway: outdated replies of the store and of peers are counted and logged

The syncer now counts replies that are older than the mirror when they arrive (store.calls.KIND.outdated) and logs them at level 1 with their kind, both revisions and the number of changes that they made.

--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -129,14 +129,29 @@
 	if !s.reader.StoreReachable() {
 		s.log.Info("store reached", "revision", page.Revision)
 	}
+	mirrored := s.mirror.Revision()
+	var changes []mirror.Item
 	if call.Kind() == mirror.List {
-		s.applyChanges(s.reader.HandlePage(now, page.Items, page.Revision, page.More))
+		changes = s.reader.HandlePage(now, page.Items, page.Revision, page.More)
 	} else {
-		s.applyChanges(s.reader.HandleEvents(now, page.Items, page.Revision))
+		changes = s.reader.HandleEvents(now, page.Items, page.Revision)
 	}
+	s.recordOutdated(call.Kind().String(), mirrored, page.Revision, changes)
+	s.applyChanges(changes)
 	s.applyChanges(s.mirror.Expire(now))
 }
 
+// recordOutdated counts and logs a reply that is older than the mirror was when it
+// arrived, with the number of changes that it made. A peer without a copy replies with
+// revision 0. The caller holds the lock.
+func (s *mirrorSyncer) recordOutdated(kind string, mirrored, revision uint64, changes []mirror.Item) {
+	if revision == 0 || revision >= mirrored {
+		return
+	}
+	s.callCounts[kind+".outdated"]++
+	s.log.V(1).Info("outdated reply", "kind", kind, "revision", revision, "mirrored", mirrored, "changes", len(changes))
+}
+
 // setSources sets the peers that may be followed. It must not take the lock: the
 // tracker calls it with its own lock held, and the syncer calls the tracker with its
 // lock held, so the two could deadlock.
@@ -164,8 +179,10 @@
 		s.log.Info("following a peer failed", "peer", call.Peer(), "error", err.Error())
 		return
 	}
+	mirrored := s.mirror.Revision()
 	changes := s.reader.HandleFollowReply(s.now(), call.Peer(), reply.items(), reply.Complete, reply.Revision,
 		clock.Millis(reply.AgeMs))
+	s.recordOutdated(call.Kind().String(), mirrored, reply.Revision, changes)
 	s.handleProof(sentAt, reply)
 	s.applyChanges(changes)
 	s.applyChanges(s.mirror.Expire(s.now()))
@@ -324,7 +341,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	mirrored := s.mirror.Revision()
 	changes := s.reader.HandlePeerReply(s.now(), reply.items(), reply.Complete, reply.Revision, clock.Millis(reply.AgeMs))
+	s.recordOutdated("peer", mirrored, reply.Revision, changes)
 	s.handleProof(sentAt, reply)
 	s.applyChanges(changes)
 }
