mirror: changes that are not newer than the mirror are ignored

Cause: after 1.5 s without the store a daemon reads the mirror of a peer, which contains the removal. Then the delayed reply of its watch arrives, which ends before the removal and contains the last write of the entry. Apply took a write for new if the mirror had no item of the key, or one whose removal was held back. The revision of the mirror stays the later one, so the removal is never delivered again.

Change: the mirror has all changes up to its revision, so Apply ignores changes up to it, item by item, whichever reply contains them. Related paths with the same cause, in the same function: a reply that spans the removal listed the replica and removed it again (or held the removal back for the grace period of a lapsed key); a write from before a removal that is held back cancelled it; a delayed removal lowered the compacted revision, after which followers could miss removals.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -116,13 +116,17 @@
 }
 
 // Apply applies the changes up to a revision. It returns those that were not known
-// and whose removal, if they are removals, is not held back.
+// and whose removal, if they are removals, is not held back. Replies arrive in any
+// order: changes up to the revision of the mirror are ignored, as it already has them
+// or later ones of the same keys, which may be removals.
 func (m *Mirror) Apply(now clock.Millis, changes []Item, revision uint64) []Item {
 	var fresh []Item
 	for _, change := range changes {
-		if change.removed {
+		switch {
+		case change.revision <= m.revision:
+		case change.removed:
 			fresh = m.remove(now, fresh, change)
-		} else {
+		default:
 			fresh = append(fresh, m.put([]Item{change})...)
 		}
 	}
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -42,6 +42,62 @@
 	assert.Equal(t, uint64(6), m.Revision())
 }
 
+// Guards against a replica that has left and is used again: the reply of a watch or of a
+// peer is delayed, and the mirror has learnt of the removal in the meantime.
+func TestDelayedReplyDoesNotRestoreRemovedKey(t *testing.T) {
+	for name, handle := range map[string]func(r *Reader, items []Item, revision uint64) []Item{
+		"watch": func(r *Reader, items []Item, revision uint64) []Item { return r.HandleEvents(30, items, revision) },
+		"peer": func(r *Reader, items []Item, revision uint64) []Item {
+			return r.HandlePeerReply(30, items, false, revision, 0)
+		},
+		"follow": func(r *Reader, items []Item, revision uint64) []Item {
+			return r.HandleFollowReply(30, "p", items, false, revision, 0)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newTestMirror()
+			r := newTestReader(m)
+			assert.Equal(t, []string{"-a"}, changedKeys(r.HandlePeerReply(20, []Item{NewRemoval("a", 5)}, false, 6, 0)))
+			assert.Empty(t, handle(r, []Item{item("a", 4)}, 4), "ends before the removal")
+			assert.Equal(t, []string{"b"}, changedKeys(handle(r, []Item{item("a", 4), NewRemoval("a", 5), item("b", 7)}, 7)),
+				"ends after the removal: the replica must not be listed and removed again")
+			_, listed := m.Get("a")
+			assert.False(t, listed)
+			items, _, _ := m.ChangesSince(0)
+			assert.Equal(t, []string{"c", "b"}, changedKeys(items), "for a peer")
+		})
+	}
+}
+
+// Guards against a replica that has left and stays listed: its removal is held back after a
+// failure of the store, and a delayed reply contains an earlier write of the key.
+func TestDelayedReplyDoesNotEndHeldRemoval(t *testing.T) {
+	m := newTestMirror()
+	m.RecordStoreFailure(1000)
+	m.Apply(1500, []Item{NewRemoval("a", 5)}, 6)
+	assert.Empty(t, m.Apply(1600, []Item{item("a", 4)}, 4))
+	assert.Equal(t, []string{"-a"}, changedKeys(m.Expire(1000+lapseGracePeriod)))
+}
+
+// Guards against a follower that misses a removal: a delayed reply must not make the mirror
+// forget which removals it no longer knows.
+func TestDelayedReplyKeepsCompactedRevision(t *testing.T) {
+	m := newTestMirror()
+	removals := make([]Item, 0, maxTombstones)
+	for revision := uint64(10); len(removals) < maxTombstones; revision++ {
+		removals = append(removals, NewRemoval("gone", revision))
+	}
+	last := removals[len(removals)-1].revision
+	m.Apply(10, removals, last)
+	m.Apply(20, []Item{NewRemoval("late", 4)}, 4)
+	for range maxTombstones {
+		last++
+		m.Apply(30, []Item{NewRemoval("gone", last)}, last)
+	}
+	_, complete, _ := m.ChangesSince(last - maxTombstones - 1)
+	assert.True(t, complete)
+}
+
 // Guards against a delayed listing that returns the mirror to an earlier state.
 func TestOutdatedListingIsIgnored(t *testing.T) {
 	m := newTestMirror()
--- a/core/mirror/proof_test.go
+++ b/core/mirror/proof_test.go
@@ -1,9 +1,11 @@
 package mirror
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -172,7 +174,9 @@
 	faults       float64
 	commits      []clock.Millis // instant of each revision, from 1
 	changeChance float64        // of a commit in a step
-	storeSilent  clock.Millis   // until when
+	removeChance float64        // of a commit to be a removal
+	removals     map[uint64]bool
+	storeSilent  clock.Millis // until when
 	daemons      []*proofDaemon
 	worstAge     clock.Millis
 	proofs       int // new proofs of all daemons
@@ -181,7 +185,8 @@
 const simulationStep = 5 * clock.Millisecond
 
 func newProofSimulation(seed uint64, changeChance, faults float64) *proofSimulation {
-	s := &proofSimulation{random: rand.New(rand.NewPCG(seed, 1)), faults: faults, changeChance: changeChance, commits: []clock.Millis{0}}
+	s := &proofSimulation{random: rand.New(rand.NewPCG(seed, 1)), faults: faults, changeChance: changeChance, commits: []clock.Millis{0},
+		removals: make(map[uint64]bool)}
 	for i := range 6 {
 		d := &proofDaemon{source: i / 3 * 3, offset: clock.Millis(s.random.Float64() * 1e6)}
 		d.reader = NewReader(d.offset, &d.mirror, s.random)
@@ -203,19 +208,27 @@
 	return clock.Millis(s.random.Float64()) * 3
 }
 
-// storeItems returns the items of a listing or a watch: four keys take turns in changing.
-func (s *proofSimulation) storeItems(after uint64) (items []Item, revision uint64) {
+// storeChanges returns the latest change of each key after a revision: four keys take
+// turns in changing.
+func (s *proofSimulation) storeChanges(after uint64) (changes []Item, revision uint64) {
 	revision = uint64(len(s.commits) - 1)
 	for n := max(after+1, revision-min(revision, 3)); n <= revision; n++ {
-		items = append(items, item(fmt.Sprint(n%4), n))
+		if key := fmt.Sprint(n % 4); s.removals[n] {
+			changes = append(changes, NewRemoval(key, n))
+		} else {
+			changes = append(changes, item(key, n))
+		}
 	}
-	return items, revision
+	return changes, revision
 }
 
 func (s *proofSimulation) step() {
 	s.now += simulationStep
 	if s.random.Float64() < s.changeChance {
 		s.commits = append(s.commits, s.now)
+		if s.removeChance > 0 && s.random.Float64() < s.removeChance {
+			s.removals[uint64(len(s.commits)-1)] = true
+		}
 	}
 	if s.random.Float64() < s.faults*0.001 {
 		s.storeSilent = s.now + clock.Millis(s.random.Float64())*8000
@@ -287,21 +300,23 @@
 }
 
 func (s *proofSimulation) answerFromStore(d *proofDaemon, c *proofCall) {
-	items, revision := s.storeItems(c.call.AfterRevision())
+	changes, revision := s.storeChanges(c.call.AfterRevision())
 	switch {
 	case c.call.Kind() == List:
-		first := c.call.AfterKey() == "" // the first page holds two keys
 		var page []Item
-		for _, item := range items {
-			if (item.Key() < "2") == first {
-				page = append(page, item)
+		for _, change := range changes {
+			if !change.Removed() && change.Key() > c.call.AfterKey() {
+				page = append(page, change)
 			}
 		}
-		c.answer(s.now, s.delay(), func(now clock.Millis) { d.reader.HandlePage(now, page, revision, first) })
+		slices.SortFunc(page, func(a, b Item) int { return cmp.Compare(a.Key(), b.Key()) })
+		more := len(page) > 2
+		page = page[:min(2, len(page))]
+		c.answer(s.now, s.delay(), func(now clock.Millis) { d.reader.HandlePage(now, page, revision, more) })
 	case revision > c.call.AfterRevision() && s.random.Float64() < s.faults/10:
 		c.answer(s.now, s.delay(), func(now clock.Millis) { d.reader.RecordFailure(now, ErrCompacted) })
 	case revision > c.call.AfterRevision() || s.now >= c.arrivesAt+c.call.Wait():
-		c.answer(s.now, s.delay(), func(now clock.Millis) { d.reader.HandleEvents(now, items, revision) })
+		c.answer(s.now, s.delay(), func(now clock.Millis) { d.reader.HandleEvents(now, changes, revision) })
 	}
 }
 
@@ -354,8 +369,7 @@
 		key := fmt.Sprint(n % 4)
 		if newest[key] == 0 && s.commits[n] <= at-d.offset {
 			newest[key] = uint64(n)
-			held, _ := d.mirror.Get(key)
-			if held.Revision() < uint64(n) {
+			if s.lacks(d, uint64(n)) {
 				panic(fmt.Sprintf("daemon %d at %v: proof %v, but revision %d of %v is missing", i, s.now, at-d.offset, n, s.commits[n]))
 			}
 			if len(newest) == 4 {
@@ -365,6 +379,47 @@
 	}
 }
 
+// lacks reports whether the mirror of a daemon lacks the change with a revision, or a
+// later one of the same key. A key whose removal is held back counts as removed.
+func (s *proofSimulation) lacks(d *proofDaemon, revision uint64) bool {
+	key := fmt.Sprint(revision % 4)
+	held, listed := d.mirror.Get(key)
+	if _, lapsed := d.mirror.heldUntil[key]; listed && !lapsed {
+		return held.Revision() < revision
+	}
+	for n := revision; n < uint64(len(s.commits)); n += 4 {
+		if s.removals[n] {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against a replica that has left and is used again, or one that is lost: whatever
+// replies are lost, delayed, listed again or passed on by peers, the mirror must have all
+// changes up to its revision.
+func TestRemovedKeysStayRemovedUnderFaults(t *testing.T) {
+	checked := 0
+	for seed := range uint64(100) {
+		s := newProofSimulation(seed, 0.05, 0.2)
+		s.removeChance = 0.5
+		for s.now < 2*clock.Minute {
+			require.NotPanics(t, s.step, "seed %d", seed)
+			for i, d := range s.daemons {
+				d.mirror.Expire(s.now + d.offset)
+				revision := d.mirror.Revision()
+				for n := revision; n > 0 && n+4 > revision; n-- {
+					if s.lacks(d, n) {
+						require.Failf(t, "change is missing", "seed %d, daemon %d at %v: %d of %d", seed, i, s.now, n, revision)
+					}
+					checked++
+				}
+			}
+		}
+	}
+	t.Logf("%d changes checked", checked)
+}
+
 // Guards against a proof of a mirror that lacks a change, whatever is lost, delayed,
 // frozen, listed again or passed on by peers, and for clocks that differ.
 func TestProofHoldsUnderFaults(t *testing.T) {
--- a/entry/gateway/mirror_syncer_test.go
+++ b/entry/gateway/mirror_syncer_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -95,6 +97,47 @@
 	assert.Less(t, time.Since(began), 500*time.Millisecond)
 }
 
+// delayedWatch is a store whose Watch returns a page that was ready at the call only once
+// sent is closed. It closes called first.
+type delayedWatch struct {
+	Store
+	page         Page
+	called, sent chan struct{}
+}
+
+func (d delayedWatch) Watch(context.Context, string, uint64, clock.Millis) (Page, error) {
+	close(d.called)
+	<-d.sent
+	return d.page, nil
+}
+
+// Guards against requests to a replica that has left: a reply of the store from before the
+// removal arrives after the daemon has learnt of the removal from a peer.
+func TestDelayedWatchDoesNotListReplicaThatLeft(t *testing.T) {
+	s := newTestGateway(t).mirrorSyncer
+	s.applyChanges(s.reader.HandlePage(s.now(), []mirror.Item{
+		mirror.NewItem("servers/left", nil, 3), mirror.NewItem("servers/stays", nil, 4),
+	}, 4, false))
+	store := delayedWatch{
+		page:   Page{Items: []mirror.Item{mirror.NewItem("servers/left", nil, 5)}, Revision: 6},
+		called: make(chan struct{}), sent: make(chan struct{}),
+	}
+	s.store = store
+	call := s.reader.Next(s.now())
+	require.Equal(t, mirror.Watch, call.Kind())
+	var reading sync.WaitGroup
+	reading.Go(func() { s.readStore(t.Context(), call) })
+	<-store.called
+	s.requestFromPeer(t.Context(), string(newMirrorPeer(t, 9, "servers/stays")))
+	close(store.sent)
+	reading.Wait()
+	_, listed := s.mirror.Get("servers/left")
+	assert.False(t, listed)
+	assert.EqualValues(t, 9, s.mirror.Revision())
+	_, _, calls := s.storeMetrics()
+	assert.EqualValues(t, 1, calls["watch.outdated"])
+}
+
 // Guards against a panic on malformed crash records of a peer.
 func TestMalformedCrashRecordsAreIgnored(t *testing.T) {
 	g := newTestGateway(t)
