inventory: readings are dated at the start of their call

The whole fleet lists a VM that has left, loses a new one, or sends queries to a leaving upstream, until the next reading about a second later.

ObserveVMList and ObserveStatus dated an answer at its arrival, up to 5 s after the call, and published it with a sequence above that of the newer record.

Change: callers pass the instant at which the call began. What was updated after it stays as it is, and the sequences of the records that are published start from it.

--- a/core/inventory/inventory.go
+++ b/core/inventory/inventory.go
@@ -13,12 +13,14 @@
 //	var i inventory.Inventory
 //	i.SetMembers(self, aliveIDs)
 //	if i.ReadsVMList() {
-//		publish(i.ObserveVMList(now, readVMList()))
+//		requestedAt := now()
+//		publish(i.ObserveVMList(requestedAt, readVMList()))
 //	}
 //	for _, address := range i.PolledUpstreams() {
-//		publish(i.ObserveStatus(now, poll(address)))
+//		requestedAt := now()
+//		publish(i.ObserveStatus(requestedAt, poll(address)))
 //	}
-//	known, err := i.ReceiveRecord(now, record) // from a peer
+//	known, err := i.ReceiveRecord(now(), record) // from a peer
 //	for _, address := range i.TakeChanges() {
 //		vm, listed := i.VM(address)
 //		...
@@ -70,10 +72,14 @@
 type versioned[T any] struct {
 	value     T
 	sequence  uint64
-	updatedAt clock.Millis // when the record was published here, or received
+	updatedAt clock.Millis // when the call began that returned it here, or its record was received
 	gone      bool         // the VM is no longer listed
 }
 
+// changedSince reports whether the state was updated after an instant. The answer to a call
+// that began then may be older.
+func (v versioned[T]) changedSince(instant clock.Millis) bool { return v.updatedAt > instant }
+
 // SetMembers sets the id of this daemon and the ids of all daemons that are alive,
 // this one included.
 func (i *Inventory) SetMembers(self string, alive []string) {
@@ -164,10 +170,11 @@
 	return rank
 }
 
-// ObserveVMList applies a list that was read from the platform and returns the
-// records to publish: those of VMs that are new, changed, no longer listed, or due
-// to be published again.
-func (i *Inventory) ObserveVMList(now clock.Millis, list []VM) []fleet.Record {
+// ObserveVMList applies a list that was read from the platform by a call that began at
+// requestedAt, and returns the records to publish: those of VMs that are new, changed,
+// no longer listed, or due to be published again. VMs that have changed since the call
+// began stay as they are, because the list may be older.
+func (i *Inventory) ObserveVMList(requestedAt clock.Millis, list []VM) []fleet.Record {
 	if i.vms == nil {
 		i.vms = make(map[string]versioned[VM])
 	}
@@ -176,30 +183,31 @@
 	for _, vm := range list {
 		listed[vm.address] = true
 		old, known := i.vms[vm.address]
-		if known && !old.gone && old.value == vm && now-old.updatedAt < republishInterval {
+		unchanged := known && !old.gone && old.value == vm
+		if old.changedSince(requestedAt) || unchanged && requestedAt-old.updatedAt < republishInterval {
 			continue
 		}
-		updated := versioned[VM]{value: vm, sequence: nextSequence(now, old.sequence), updatedAt: now}
+		updated := versioned[VM]{value: vm, sequence: nextSequence(requestedAt, old.sequence), updatedAt: requestedAt}
 		i.vms[vm.address] = updated
 		i.markVMChanged(vm.address)
 		records = append(records, vmRecord(updated, recordLifetime))
 	}
-	return append(records, i.endUnlisted(now, listed)...)
+	return append(records, i.endUnlisted(requestedAt, listed)...)
 }
 
 // endUnlisted marks VMs that the platform no longer lists as gone and returns their
 // records. An empty list is ignored: the platform has lost its content, since this
 // daemon itself runs on a VM.
-func (i *Inventory) endUnlisted(now clock.Millis, listed map[string]bool) []fleet.Record {
+func (i *Inventory) endUnlisted(requestedAt clock.Millis, listed map[string]bool) []fleet.Record {
 	if len(listed) == 0 {
 		return nil
 	}
 	var records []fleet.Record
 	for address, old := range i.vms {
-		if old.gone || listed[address] {
+		if old.gone || listed[address] || old.changedSince(requestedAt) {
 			continue
 		}
-		ended := versioned[VM]{value: old.value, sequence: nextSequence(now, old.sequence), updatedAt: now, gone: true}
+		ended := versioned[VM]{value: old.value, sequence: nextSequence(requestedAt, old.sequence), updatedAt: requestedAt, gone: true}
 		i.vms[address] = ended
 		i.markVMChanged(address)
 		delete(i.statuses, address)
@@ -209,17 +217,19 @@
 	return records
 }
 
-// ObserveStatus applies the polled status of an upstream and returns the records to
-// publish: none if the status is unchanged and not due to be published again.
-func (i *Inventory) ObserveStatus(now clock.Millis, status Status) []fleet.Record {
+// ObserveStatus applies the status of an upstream that was polled by a call that began at
+// requestedAt, and returns the records to publish: none if the status has changed since, so
+// that this one may be older, or if it is unchanged and not due to be published again.
+func (i *Inventory) ObserveStatus(requestedAt clock.Millis, status Status) []fleet.Record {
 	old, known := i.statuses[status.address]
-	if known && old.value.equal(status) && now-old.updatedAt < republishInterval {
+	unchanged := known && old.value.equal(status)
+	if old.changedSince(requestedAt) || unchanged && requestedAt-old.updatedAt < republishInterval {
 		return nil
 	}
 	if i.statuses == nil {
 		i.statuses = make(map[string]versioned[Status])
 	}
-	updated := versioned[Status]{value: status, sequence: nextSequence(now, old.sequence), updatedAt: now}
+	updated := versioned[Status]{value: status, sequence: nextSequence(requestedAt, old.sequence), updatedAt: requestedAt}
 	i.statuses[status.address] = updated
 	i.markChanged(status.address)
 	return []fleet.Record{statusRecord(updated)}
--- a/core/inventory/inventory_test.go
+++ b/core/inventory/inventory_test.go
@@ -52,6 +52,39 @@
 	require.Equal(t, "b", other.VMs()[0].Address())
 }
 
+// Guards against a VM that is listed again in the whole fleet, or one that is missing in
+// it: another daemon has published a newer list while this one waited for its own.
+func TestDelayedVMListIsNotPublished(t *testing.T) {
+	var slow, fast inventory.Inventory
+	receiveRecords(t, &slow, fast.ObserveVMList(0, []inventory.VM{upstreamVM("left"), upstreamVM("stays")})...)
+	list := []inventory.VM{upstreamVM("stays").AsLeaving(), upstreamVM("new")}
+	for _, record := range fast.ObserveVMList(2*clock.Second, list) {
+		_, err := slow.ReceiveRecord(2*clock.Second, record)
+		require.NoError(t, err)
+	}
+	delayed := []inventory.VM{upstreamVM("left"), upstreamVM("stays")}
+	require.Empty(t, slow.ObserveVMList(1*clock.Second, delayed))
+	require.Equal(t, fast.VMs(), slow.VMs())
+	require.Len(t, slow.ObserveVMList(3*clock.Second, delayed), 3, "a later list applies")
+}
+
+// Guards against an upstream that counts as ready again in the whole fleet although it is
+// leaving: another daemon has published its status while this one waited for its own poll.
+func TestDelayedStatusIsNotPublished(t *testing.T) {
+	var slow, fast inventory.Inventory
+	ready := inventory.NewStatus("a", "boot-1", false, false, nil)
+	leaving := inventory.NewStatus("a", "boot-1", false, true, nil)
+	receiveRecords(t, &slow, fast.ObserveStatus(0, ready)...)
+	for _, record := range fast.ObserveStatus(2*clock.Second, leaving) {
+		_, err := slow.ReceiveRecord(2*clock.Second, record)
+		require.NoError(t, err)
+	}
+	require.Empty(t, slow.ObserveStatus(1*clock.Second, ready))
+	found, _ := slow.Status("a")
+	require.Equal(t, leaving, found)
+	require.Len(t, slow.ObserveStatus(3*clock.Second, ready), 1, "a later status applies")
+}
+
 // Guards against the removal of all upstreams at once when a restored platform
 // returns an empty list.
 func TestEmptyListRemovesNoVM(t *testing.T) {
--- a/core/matrix/daemon_test.go
+++ b/core/matrix/daemon_test.go
@@ -289,9 +289,10 @@
 // discover reads the list of VMs and polls the upstreams that d is responsible for.
 func (d *daemon) discover() {
 	w := d.w
+	requestedAt := w.now
 	if d.inventory.ReadsVMList() && w.reachesStore(d) {
 		list := w.listVMs()
-		w.deliver(d, 2*w.store.delay, func() { d.publishRecords(d.inventory.ObserveVMList(w.now, list)) })
+		w.deliver(d, 2*w.store.delay, func() { d.publishRecords(d.inventory.ObserveVMList(requestedAt, list)) })
 	}
 	for _, id := range slices.Clone(d.inventory.PolledUpstreams()) {
 		u := w.upstreamByID(id)
@@ -303,7 +304,7 @@
 			lag += clock.Second
 		}
 		w.deliver(d, lag, func() {
-			d.publishRecords(d.inventory.ObserveStatus(w.now, inventory.NewStatus(
+			d.publishRecords(d.inventory.ObserveStatus(requestedAt, inventory.NewStatus(
 				u.id, fmt.Sprint(status.boot), status.cold, status.leaving, status.holdings)))
 		})
 	}
--- a/entry/daemon/discovery.go
+++ b/entry/daemon/discovery.go
@@ -93,6 +93,7 @@
 		return
 	}
 	d.telemetry.AddToCounter("platform.vm-list-reads", 1)
+	requestedAt := d.clock.Now()
 	vms, err := d.platform.VMs(ctx)
 	if err != nil {
 		d.telemetry.AddToCounter("platform.vm-list-failures", 1)
@@ -103,7 +104,7 @@
 		d.telemetry.AddToCounter("platform.vm-list-invalid-elements", invalid)
 		d.log.V(1).Info("daemon: VM list has elements that describe no VM", "elements", invalid)
 	}
-	for _, record := range d.services.observeVMList(inventoryVMs(vms)) {
+	for _, record := range d.services.observeVMList(requestedAt, inventoryVMs(vms)) {
 		d.control.Publish(record)
 	}
 }
@@ -133,11 +134,12 @@
 		permits <- struct{}{}
 		calls.Go(func() {
 			defer func() { <-permits }()
+			requestedAt := d.clock.Now()
 			status, err := d.upstreams.Status(ctx, upstream.ID(address))
 			if err != nil {
 				return
 			}
-			for _, record := range d.services.observeStatus(address, status) {
+			for _, record := range d.services.observeStatus(requestedAt, address, status) {
 				d.control.Publish(record)
 			}
 		})
@@ -210,10 +212,10 @@
 	return s.inventory.ReadsVMList()
 }
 
-func (s *services) observeVMList(vms []inventory.VM) []fleet.Record {
+func (s *services) observeVMList(requestedAt clock.Millis, vms []inventory.VM) []fleet.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.inventory.ObserveVMList(s.daemon.clock.Now(), vms)
+	return s.inventory.ObserveVMList(requestedAt, vms)
 }
 
 func (s *services) polledUpstreams() []string {
@@ -222,11 +224,11 @@
 	return append([]string(nil), s.inventory.PolledUpstreams()...)
 }
 
-func (s *services) observeStatus(address string, status upstreams.Status) []fleet.Record {
+func (s *services) observeStatus(requestedAt clock.Millis, address string, status upstreams.Status) []fleet.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	observed := inventory.NewStatus(address, status.Boot(), status.Cold(), status.Leaving(), status.Holdings())
-	return s.inventory.ObserveStatus(s.daemon.clock.Now(), observed)
+	return s.inventory.ObserveStatus(requestedAt, observed)
 }
 
 // applyInventory applies the changes of the inventory to the engines and returns the
--- a/entry/daemon/measure_test.go
+++ b/entry/daemon/measure_test.go
@@ -54,7 +54,7 @@
 	}
 	s.MembersChanged(members)
 	learn := elapsed(func() {
-		s.observeVMList(list)
+		s.observeVMList(s.daemon.clock.Now(), list)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		for _, status := range statuses {
@@ -71,7 +71,7 @@
 		}
 	})
 	one := elapsed(func() {
-		s.observeVMList(append(list[:len(list)-1:len(list)-1], list[len(list)-1].AsLeaving()))
+		s.observeVMList(s.daemon.clock.Now(), append(list[:len(list)-1:len(list)-1], list[len(list)-1].AsLeaving()))
 		s.applyInventory()
 	})
 	used := heapBytes() - before
