body: a switch to another protocol is no answer

Callers saw (in tests): a replica answers with status 101, although no request asks for another protocol, and the bytes that follow reach the caller as the answer if they look like a reply.

Cause: 101 was taken for an informational reply, which the final one follows.

Change: the check of heads that all clients share rejects 101, so the exchange ends as garbled and its connection is closed.

--- a/entry/body/response.go
+++ b/entry/body/response.go
@@ -22,6 +22,7 @@
 //
 //   - a version other than HTTP/1,
 //   - a status outside the range of HTTP,
+//   - a switch to another protocol, which no request asks for (RFC 9110, section 15.2.2),
 //   - a name of a header that is no token, such as one with a space,
 //   - a line that begins with white space, and so continues the value of the line before,
 //     which senders must not use and gateways may reject (RFC 9112, section 5.2),
@@ -50,6 +51,9 @@
 	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
 		return errors.Wrapf(ErrInvalid, "status %d", response.StatusCode)
 	}
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return errors.Wrap(ErrInvalid, "switch of protocols without a request for it")
+	}
 	for name := range response.Header {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return errors.Wrapf(ErrInvalid, "header name %q", name)
--- a/entry/exchange/hostile_test.go
+++ b/entry/exchange/hostile_test.go
@@ -280,6 +280,14 @@
 	}
 }
 
+// Guards against bytes of another protocol that are taken for an answer: no request asks
+// to switch to one.
+func TestReplyAfterSwitchOfProtocolIsNoAnswer(t *testing.T) {
+	requireGarbled(t, "HTTP/1.1 101 Switching Protocols\r\n\r\n"+completeReply)
+	requireGarbled(t, "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n"+completeReply)
+	requireGarbled(t, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 101 Switching Protocols\r\n\r\n"+completeReply)
+}
+
 // Guards against a reply with an invalid name of a header that is taken for an answer. The
 // body of one whose framing headers have such names is not that of the replica.
 func TestReplyWithInvalidHeaderNameIsNoAnswer(t *testing.T) {
