upstreams: informational replies are skipped

Cause: the client took the first head for that of the final reply.

Change: up to two informational replies are skipped, as by the client for routes; a third one is a malformed reply, after which the connection is closed.

--- a/entry/upstreams/conn.go
+++ b/entry/upstreams/conn.go
@@ -20,6 +20,9 @@
 	maxHeadBytes    = 64 << 10 // status line and headers of a reply
 	maxBodyBytes    = 4 << 20
 	maxReplyMemory  = 32 << 20
+	// maxReplyHeads bounds the heads that are read for an exchange: those of informational
+	// replies and of the final one.
+	maxReplyHeads = 3
 )
 
 // replyMemory bounds the bodies that are read at a time, so that upstreams that send
@@ -105,12 +108,21 @@
 	reused   bool // the connection carried an exchange before
 }
 
+// readReply reads the reply to a request of the given method. It skips informational
+// replies, which the final one follows.
 func (c *conn) readReply(method *http.Request) (reply, error) {
-	c.limited.N = maxHeadBytes
-	c.head.BeginHead(nil) // a connection with buffered bytes is not reused
-	response, err := c.head.ReadResponse(c.reader, method)
-	if err != nil {
+	response, err := c.readHead(method)
+	for range maxReplyHeads - 1 {
+		if err != nil || response.StatusCode >= http.StatusOK {
+			break
+		}
+		response, err = c.readHead(method)
+	}
+	switch {
+	case err != nil:
 		return reply{}, c.classifyReadError(err)
+	case response.StatusCode < http.StatusOK:
+		return reply{}, errors.Wrapf(errMalformedReply, "more than %d informational replies", maxReplyHeads-1)
 	}
 	// Close would read an oversized body to its end, so the connection is
 	// closed instead after an error.
@@ -126,6 +138,13 @@
 	}, nil
 }
 
+func (c *conn) readHead(method *http.Request) (*http.Response, error) {
+	c.limited.N = maxHeadBytes
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.head.BeginHead(buffered)
+	return c.head.ReadResponse(c.reader, method)
+}
+
 // classifyReadError marks the error of a reply that is not valid HTTP as
 // errMalformedReply, and returns body.ErrOversized for a head above its limit.
 // Errors of the connection stay as they are.
--- a/entry/upstreams/exchange_test.go
+++ b/entry/upstreams/exchange_test.go
@@ -104,7 +104,10 @@
 	}
 }
 
-const validBody = `{"hits":[]}`
+const (
+	validBody  = `{"hits":[]}`
+	earlyHints = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+)
 
 // replyHead returns the head of a valid reply to r with a content length.
 func replyHead(r *http.Request, length int) string {
@@ -180,6 +183,15 @@
 		{"status 000", replyWithStatus("000 Odd", ""), longDeadline, upstream.Failed, false},
 		{"status 099", replyWithStatus("099 Odd", ""), longDeadline, upstream.Failed, false},
 		{"status 600", replyWithStatus("600 Odd", ""), longDeadline, upstream.Failed, false},
+		{"early hints", replyWithChange("HTTP/1.1 200", earlyHints+"HTTP/1.1 200"), longDeadline, upstream.OK, true},
+		{"early hints with a slow reply", func(c net.Conn, r *http.Request, n int) {
+			fmt.Fprint(c, earlyHints)
+			time.Sleep(20 * time.Millisecond)
+			replyValid(c, r, n)
+		}, longDeadline, upstream.OK, true},
+		{"early hints only", replyWithChange("HTTP/1.1 200", strings.Repeat(earlyHints, maxReplyHeads)+"HTTP/1.1 200"), longDeadline, upstream.Failed, false},
+		{"early hints with a folded line", replyWithChange("HTTP/1.1 200", "HTTP/1.1 103 Early Hints\r\nX: 1\r\n Y: 1\r\n\r\nHTTP/1.1 200"), longDeadline, upstream.Failed, false},
+		{"switch of protocols", replyWithChange("HTTP/1.1 200", "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200"), longDeadline, upstream.Failed, false},
 		{"space in a header name", replyWithChange("Lovagegap-Boot", "X Y: 1\r\nLovagegap-Boot"), longDeadline, upstream.Failed, false},
 		{"space after a header name", replyWithChange("Lovagegap-Boot", "X : 1\r\nLovagegap-Boot"), longDeadline, upstream.Failed, false},
 		{"control byte in a header name", replyWithChange("Lovagegap-Boot", "X\x01: 1\r\nLovagegap-Boot"), longDeadline, upstream.Failed, false},
