--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -79,6 +79,36 @@
 	assert.Equal(t, []string{"-a"}, changedKeys(m.Expire(1000+lapseGracePeriod)))
 }
 
+// Guards against a replica that has left and is used again, or one that is lost: whatever
+// replies are lost, delayed, listed again or passed on by peers, the mirror must have all
+// changes up to its revision.
+func TestRemovedKeysStayRemovedUnderFaults(t *testing.T) {
+	checked := 0
+	for seed := range uint64(100) {
+		s := newSimulation(seed, 0.05, 0.2)
+		s.removeChance = 0.5
+		replies := make([]int, len(s.daemons))
+		for s.now < 2*clock.Minute {
+			require.NotPanics(t, s.step, "seed %d", seed)
+			for i, d := range s.daemons {
+				expired := d.mirror.Expire(s.now + d.offset)
+				if d.replies == replies[i] && len(expired) == 0 {
+					continue
+				}
+				replies[i] = d.replies
+				revision := d.mirror.Revision()
+				for n := revision; n > 0 && n+4 > revision; n-- {
+					if s.lacks(d, n) {
+						require.Failf(t, "change is missing", "seed %d, daemon %d at %v: %d of %d", seed, i, s.now, n, revision)
+					}
+					checked++
+				}
+			}
+		}
+	}
+	t.Logf("%d changes checked", checked)
+}
+
 // Guards against a follower that misses a removal: a delayed reply must not make the mirror
 // forget which removals it no longer knows.
 func TestDelayedReplyKeepsCompactedRevision(t *testing.T) {
