release: a delayed result does not undo a newer status

Cause: the status comes from the changes of the store and from the results of the decider's own calls. Their order is that of the revisions, but an absent status has none and always replaced the known one.

Change: if the known status has changed during a call, the result replaces it only with a later revision.

Evidence: TestDelayedResultDoesNotUndoRollback failed before in the cases of an absent and a removed status (both for reads and for writes) and passes now.

Measured: tests of core/release and entry/gateway pass on x86-64.

--- a/core/release/decider.go
+++ b/core/release/decider.go
@@ -71,6 +71,7 @@
 	spokenAt      clock.Millis
 	pending       *Status // the status that is to be written
 	inFlight      bool    // a write or read is in progress
+	updatesBefore uint64  // statusUpdates at its start
 	uncertain     bool    // a write had no reply; the status must be read
 	retryAt       clock.Millis
 	verdict       string                  // for logs
@@ -428,7 +429,7 @@
 	if d.pending == nil || d.inFlight || now < d.retryAt {
 		return nil
 	}
-	d.inFlight = true
+	d.inFlight, d.updatesBefore = true, r.statusUpdates
 	if d.uncertain {
 		return []Action{{Kind: ReadStatus}}
 	}
@@ -459,6 +460,13 @@
 	return r.handleResult(now, result, timeOfDay)
 }
 
+// appliesNow reports whether the status in the result of a call is to replace the known one.
+// If the known one has changed during the call, only one with a later revision is known
+// to be newer. An absent status has no revision.
+func (r *Release) appliesNow(status Status) bool {
+	return r.statusUpdates == r.decision.updatesBefore || r.status.Revision > 0 && status.Revision > r.status.Revision
+}
+
 func (r *Release) handleResult(now clock.Millis, result Result, timeOfDay int64) []Action {
 	d := &r.decision
 	d.inFlight = false
@@ -466,7 +474,9 @@
 		d.retryAt = now + writeRetryInterval
 		return nil
 	}
-	r.SetStatus(now, result.Status, timeOfDay)
+	if r.appliesNow(result.Status) {
+		r.setStatus(now, result.Status, timeOfDay)
+	}
 	if d.pending == nil || !d.pending.Equal(r.status) {
 		// Another decider or an order came first. The next Tick decides anew.
 		d.pending, d.retryAt = nil, now+writeRetryInterval
--- a/core/release/release.go
+++ b/core/release/release.go
@@ -206,20 +206,21 @@
 	service, self string
 	settings      Settings
 
-	order       *Order
-	status      Status
-	inherited   bool // the release ran for inheritedAge before this daemon heard of it
-	startedAt   clock.Millis
-	target      string   // that the fields below apply to
-	deciders    []string // daemons that may decide
-	members     []string // daemons that may send requests
-	directive   Directive
-	directiveAt clock.Millis
-	rejected    bool
-	reports     map[string]*heldReport // of all daemons, this one included
-	reportAt    clock.Millis
-	reported    Report // without cells, the latest of this daemon
-	tickedAt    clock.Millis
+	order         *Order
+	status        Status
+	statusUpdates uint64 // calls of SetStatus so far
+	inherited     bool   // the release ran for inheritedAge before this daemon heard of it
+	startedAt     clock.Millis
+	target        string   // that the fields below apply to
+	deciders      []string // daemons that may decide
+	members       []string // daemons that may send requests
+	directive     Directive
+	directiveAt   clock.Millis
+	rejected      bool
+	reports       map[string]*heldReport // of all daemons, this one included
+	reportAt      clock.Millis
+	reported      Report // without cells, the latest of this daemon
+	tickedAt      clock.Millis
 	// followedSince is the instant from which the daemon has followed the release
 	// without a pause.
 	followedSince clock.Millis
@@ -287,9 +288,14 @@
 	clear(r.reports)
 }
 
-// SetStatus sets the status as of the store. One that is older than the known one is
-// ignored. TimeOfDay is in Unix ms.
+// SetStatus sets the status from the changes of the store. One that is older than the
+// known one is ignored. TimeOfDay is in Unix ms.
 func (r *Release) SetStatus(now clock.Millis, status Status, timeOfDay int64) {
+	r.statusUpdates++
+	r.setStatus(now, status, timeOfDay)
+}
+
+func (r *Release) setStatus(now clock.Millis, status Status, timeOfDay int64) {
 	if status.Revision < r.status.Revision && status.Revision != 0 {
 		return
 	}
--- a/core/release/release_test.go
+++ b/core/release/release_test.go
@@ -612,6 +612,54 @@
 	}
 }
 
+// Guards against a version that was rolled back and is used again: a read or a write of the
+// status that began before ends after the rollback is known from the changes of the store.
+func TestDelayedResultDoesNotUndoRollback(t *testing.T) {
+	rolledBack := Status{State: RolledBack, Target: "v2", Decider: "e", Revision: 9}
+	for name, c := range map[string]struct {
+		result Status
+		want   Status
+	}{
+		"no status yet":   {Status{}, rolledBack},
+		"earlier status":  {Status{State: Running, Target: "v2", Decider: "e", Revision: 5}, rolledBack},
+		"the same status": {rolledBack, rolledBack},
+		"a later status":  {Status{State: Completed, Target: "v2", Decider: "e", Revision: 12}, Status{State: Completed, Target: "v2", Decider: "e", Revision: 12}},
+		"removed status":  {Status{State: Running, Target: "v2", Decider: "e", Revision: 5}, Status{}},
+	} {
+		for _, read := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, read %v", name, read), func(t *testing.T) {
+				r := New(simService, "d", simSettings)
+				r.SetOrder(1000, &Order{Target: "v2", Duration: clock.Minute, Revision: 3})
+				now := requireAction(t, r, 1000, WriteStatus)
+				handle := r.HandleWrite
+				if read {
+					r.HandleWrite(now, Result{}, 0)
+					now, handle = requireAction(t, r, now, ReadStatus), r.HandleRead
+				}
+				r.SetStatus(now, rolledBack, 0)
+				if c.want.Revision == 0 {
+					r.SetStatus(now, Status{}, 0)
+				}
+				handle(now+100, Result{Known: true, Status: c.result}, 0)
+				assert.Equal(t, c.want, r.Status())
+			})
+		}
+	}
+}
+
+// requireAction ticks the release until it wants the action, and returns the instant.
+func requireAction(t *testing.T, r *Release, now clock.Millis, kind ActionKind) clock.Millis {
+	for end := now + 10*clock.Second; now < end; now += 100 {
+		for _, action := range r.Tick(now, Local{Targets: 1}) {
+			if action.Kind == kind {
+				return now
+			}
+		}
+	}
+	require.Fail(t, "no such action")
+	return 0
+}
+
 // Guards against an order that is changed midway and leaves the first version in use.
 func TestOrderChangedMidway(t *testing.T) {
 	s := newFleetSim(t, 3, 5)
