gateway: the age of store data, delayed changes and held removals are logged

What operators saw: requests handled as an outdated configuration allows, and requests to replicas that had left, with nothing in the log but 'store lost', or not even that.

Cause of the gap: a change was logged without its age and the call that brought it; failed calls after the first one, replies of peers and removals that are held back left no trace.

Change: 'store data is outdated' and 'is current' with the calls made so far, 'delayed changes' with source, duration and the age before, 'held removals applied', each failed call at level 1, counts of calls of peers, of replies that advance the revision without a change, and of held removals. No decision changes.

Checked: the tests of the two packages.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -83,6 +83,9 @@
 // Len returns the number of items, including those whose removal is held back.
 func (m *Mirror) Len() int { return len(m.items) }
 
+// Held returns the number of items whose removal is held back.
+func (m *Mirror) Held() int { return len(m.heldUntil) }
+
 // RecordStoreFailure records that a call of the store failed at now. Removals up to
 // lapseGracePeriod later are held back, because keys may have lapsed although
 // their writers are alive.
--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -19,6 +19,9 @@
 	"github.com/lovagegap/lovagegap/entry/routing"
 )
 
+// outdatedAge is the age of the mirror from which it is reported as outdated.
+const outdatedAge = 2 * clock.Second
+
 // peerPollInterval is the interval at which pollPeers checks whether to request changes
 // from a peer, and applies the held removals that are due.
 const peerPollInterval = 250 * time.Millisecond
@@ -42,6 +45,7 @@
 	changed      chan struct{} // closed when the mirror changes
 	observations replica.ObservationMerger
 	callCounts   map[string]int64 // by kind of call and outcome
+	outdatedFrom clock.Millis     // when the mirror was last current before it became outdated; 0 while it is not
 }
 
 func newMirrorSyncer(g *Gateway) *mirrorSyncer {
@@ -103,7 +107,8 @@
 	ctx, cancel := context.WithTimeout(parent, call.Timeout().Duration())
 	defer cancel()
 	s.mu.Lock()
-	s.reader.Begin(s.now(), s.suspendingNow())
+	began := s.now()
+	s.reader.Begin(began, s.suspendingNow())
 	s.mu.Unlock()
 	if call.Kind() == mirror.Follow {
 		s.followPeer(ctx, call)
@@ -121,14 +126,19 @@
 	now := s.now()
 	s.recordCall(call.Kind().String(), err)
 	if err != nil {
-		if parent.Err() == nil && s.reader.RecordFailure(now, err) {
-			s.log.Info("store lost", "error", err.Error())
+		switch {
+		case parent.Err() != nil:
+		case s.reader.RecordFailure(now, err):
+			s.log.Info("store lost", "error", err.Error(), "took", now-began)
+		default:
+			s.log.V(1).Info("call of the store failed", "kind", call.Kind().String(), "error", err.Error(), "took", now-began)
 		}
 		return
 	}
 	if !s.reader.StoreReachable() {
 		s.log.Info("store reached", "revision", page.Revision)
 	}
+	age := s.reader.Age(now)
 	mirrored := s.mirror.Revision()
 	var changes []mirror.Item
 	if call.Kind() == mirror.List {
@@ -137,8 +147,48 @@
 		changes = s.reader.HandleEvents(now, page.Items, page.Revision)
 	}
 	s.recordOutdated(call.Kind().String(), mirrored, page.Revision, changes)
+	if call.Kind() == mirror.Watch && len(page.Items) == 0 && page.Revision > call.AfterRevision() {
+		// All keys of a store may be mirrored, so such a reply may lack changes.
+		s.callCounts["watch.skipped"]++
+		s.log.V(1).Info("watch without changes has a later revision", "after", call.AfterRevision(), "revision", page.Revision)
+	}
+	s.logChanges(call.Kind().String(), "", now-began, age, changes)
 	s.applyChanges(changes)
-	s.applyChanges(s.mirror.Expire(now))
+	s.applyExpired(now)
+}
+
+// logChanges logs changes that may have come late, with where they came from, how long
+// that call took and the age that the mirror had before. The caller holds the lock.
+func (s *mirrorSyncer) logChanges(kind, peer string, took, age clock.Millis, changes []mirror.Item) {
+	if len(changes) > 0 && max(took, age) >= outdatedAge/2 {
+		s.log.V(1).Info("delayed changes", "kind", kind, "peer", peer, "took", took, "age", age,
+			"changes", len(changes), "revision", s.mirror.Revision(), "held", s.mirror.Held())
+	}
+}
+
+// logAge logs when the mirror becomes outdated and when it is current again. The caller
+// holds the lock.
+func (s *mirrorSyncer) logAge(now clock.Millis) {
+	age := s.reader.Age(now)
+	switch {
+	case age >= outdatedAge && s.outdatedFrom == 0:
+		s.outdatedFrom = now - age
+		s.log.Info("store data is outdated", "age", age, "revision", s.mirror.Revision(), "reachable", s.reader.StoreReachable(),
+			"calls", s.callCounts)
+	case age < outdatedAge && s.outdatedFrom != 0:
+		s.log.Info("store data is current", "lasted", now-s.outdatedFrom, "revision", s.mirror.Revision())
+		s.outdatedFrom = 0
+	}
+}
+
+// applyExpired applies the removals that need no longer be held back. The caller holds
+// the lock.
+func (s *mirrorSyncer) applyExpired(now clock.Millis) {
+	expired := s.mirror.Expire(now)
+	if len(expired) > 0 {
+		s.log.V(1).Info("held removals applied", "removals", len(expired), "first", expired[0].Key(), "held", s.mirror.Held())
+	}
+	s.applyChanges(expired)
 }
 
 // recordOutdated counts and logs a reply that is older than the mirror was when it
@@ -170,22 +220,26 @@
 		request.ProofAgeMs = float64(s.reader.ProofAge(sentAt))
 		s.mu.Unlock()
 	}
+	began := s.now()
 	reply, err := fetchMirror(ctx, s.gateway.config.Key, call.Peer(), request)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.now()
 	s.recordCall(call.Kind().String(), err)
 	if err != nil {
-		s.reader.RecordSourceFailure(s.now(), call.Peer())
-		s.log.Info("following a peer failed", "peer", call.Peer(), "error", err.Error())
+		s.reader.RecordSourceFailure(now, call.Peer())
+		s.log.Info("following a peer failed", "peer", call.Peer(), "error", err.Error(), "took", now-began)
 		return
 	}
+	age := s.reader.Age(now)
 	mirrored := s.mirror.Revision()
-	changes := s.reader.HandleFollowReply(s.now(), call.Peer(), reply.items(), reply.Complete, reply.Revision,
+	changes := s.reader.HandleFollowReply(now, call.Peer(), reply.items(), reply.Complete, reply.Revision,
 		clock.Millis(reply.AgeMs))
 	s.recordOutdated(call.Kind().String(), mirrored, reply.Revision, changes)
 	s.handleProof(sentAt, reply)
+	s.logChanges(call.Kind().String(), call.Peer(), now-began, age, changes)
 	s.applyChanges(changes)
-	s.applyChanges(s.mirror.Expire(s.now()))
+	s.applyExpired(now)
 	s.gateway.engine.ReceiveObservations(decodeObservations(reply.Observations))
 }
 
@@ -265,6 +319,13 @@
 	return reached, int64(s.reader.Age(s.now())), maps.Clone(s.callCounts)
 }
 
+// heldRemovals returns the number of removals that are held back.
+func (s *mirrorSyncer) heldRemovals() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(s.mirror.Held())
+}
+
 // register writes this daemon's address to the store, unless it is listed there, so
 // that daemons find each other without seeds. It succeeds once, and is tried again
 // after each read until then.
@@ -301,7 +362,8 @@
 		if !s.mirror.Complete() || s.reader.ProofOld(s.suspendingNow()) {
 			count = firstCopySources
 		}
-		s.applyChanges(s.mirror.Expire(now))
+		s.applyExpired(now)
+		s.logAge(now)
 		s.mu.Unlock()
 		if !due {
 			continue
@@ -330,21 +392,25 @@
 		after = 0
 	}
 	s.mu.Unlock()
-	sentAt := s.suspendingNow()
+	began, sentAt := s.now(), s.suspendingNow()
 	reply, err := fetchMirror(ctx, s.gateway.config.Key, peer,
 		mirrorRequest{Sender: s.gateway.config.PeerAddress, AfterRevision: after})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.recordCall("peer", err)
 	if err != nil {
 		if !errors.Is(err, context.Canceled) {
-			s.log.V(1).Info("reading the mirror of a peer failed", "peer", peer, "error", err.Error())
+			s.log.V(1).Info("reading the mirror of a peer failed", "peer", peer, "error", err.Error(), "took", now-began)
 		}
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	age := s.reader.Age(now)
 	mirrored := s.mirror.Revision()
-	changes := s.reader.HandlePeerReply(s.now(), reply.items(), reply.Complete, reply.Revision, clock.Millis(reply.AgeMs))
+	changes := s.reader.HandlePeerReply(now, reply.items(), reply.Complete, reply.Revision, clock.Millis(reply.AgeMs))
 	s.recordOutdated("peer", mirrored, reply.Revision, changes)
 	s.handleProof(sentAt, reply)
+	s.logChanges("peer", peer, now-began, age, changes)
 	s.applyChanges(changes)
 }
 
