--- a/entry/gateway/configuration.go
+++ b/entry/gateway/configuration.go
@@ -24,17 +24,20 @@
 // ProcessConfig is the process configuration of a gateway, a JSON file. Unknown
 // fields are ignored. Addresses are IP:port.
 type ProcessConfig struct {
-	Name       string   `json:"name"`
-	DataCentre string   `json:"dataCentre"`
-	Region     string   `json:"region"`
-	Callers    string   `json:"callers"`   // address for callers
-	Readiness  string   `json:"readiness"` // address for readiness checks
-	Addresses  string   `json:"addresses"` // address for requests for entry addresses
-	Peers      string   `json:"peers"`     // address for other daemons
-	Store      string   `json:"store"`     // address of the platform's store
-	Metrics    string   `json:"metrics"`   // address for metrics as text; none if empty
-	Seeds      []string `json:"seeds"`
-	Key        string   `json:"key"` // shared by the daemons of a deployment
+	Name       string `json:"name"`
+	DataCentre string `json:"dataCentre"`
+	Region     string `json:"region"`
+	Callers    string `json:"callers"`   // address for callers
+	Readiness  string `json:"readiness"` // address for readiness checks
+	Addresses  string `json:"addresses"` // address for requests for entry addresses
+	Peers      string `json:"peers"`     // address for other daemons
+	// PeersListen is the address on which the daemon listens for other daemons, if it is
+	// not Peers, as behind a port mapping.
+	PeersListen string   `json:"peersListen"`
+	Store       string   `json:"store"`   // address of the platform's store
+	Metrics     string   `json:"metrics"` // address for metrics as text; none if empty
+	Seeds       []string `json:"seeds"`
+	Key         string   `json:"key"` // shared by the daemons of a deployment
 	// GraceS is the time in seconds from the stop signal to the exit.
 	GraceS float64 `json:"graceS"`
 	// LifetimeS is the time in seconds for which callers may use addresses.
@@ -142,6 +145,9 @@
 			return errors.Wrapf(ErrConfiguration, "%s: %q must be IP:port", a.field, a.value)
 		}
 	}
+	if _, _, err := net.SplitHostPort(p.PeersListen); p.PeersListen != "" && err != nil {
+		return errors.Wrapf(ErrConfiguration, "peersListen: %q must be IP:port or empty", p.PeersListen)
+	}
 	for i, seed := range p.Seeds {
 		if _, _, err := net.SplitHostPort(seed); err != nil {
 			return errors.Wrapf(ErrConfiguration, "seeds[%d]: %q must be IP:port", i, seed)
@@ -203,7 +209,7 @@
 	}
 	return Config{
 		Name: p.Name, DataCentre: p.DataCentre, Region: p.Region, CallerAddress: p.Callers, PeerAddress: p.Peers,
-		Seeds: p.Seeds, Key: []byte(p.Key),
+		PeerListenAddress: p.PeersListen, Seeds: p.Seeds, Key: []byte(p.Key),
 		RetryBudget: replica.BudgetPolicy{
 			Ratio: p.Repeats.Ratio, Slack: p.Repeats.Slack, Window: clock.Second * clock.Millis(p.Repeats.WindowS),
 		},
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -15,6 +15,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -45,25 +46,27 @@
 // Config configures a Gateway. ProcessConfig.Config fills it except for the names
 // of headers and the prefixes of the store, which depend on the platform.
 type Config struct {
-	Name            string // of the daemon
-	DataCentre      string
-	Region          string
-	CallerAddress   string   // IP:port for callers
-	PeerAddress     string   // IP:port for other daemons; also the member ID of the daemon
-	Seeds           []string // IP:port of peers to contact first
-	Key             []byte   // shared by the daemons of a deployment; authenticates their requests
-	RetryBudget     replica.BudgetPolicy
-	Allowances      allowance.Policy // of tenants; the zero value stands for the default
-	GracePeriod     clock.Millis     // from the stop signal to the exit of the process
-	AddressLifetime clock.Millis     // for which callers may use the addresses they got
-	ReplicaHeaders  exchange.HeaderNames
-	CallerHeaders   frontend.HeaderNames
-	MaxProofAge     clock.Millis // of the configuration, for requests with a key; 0 for no limit
-	StorePrefix     string       // of the keys of the store that are mirrored
-	RegistryPrefix  string       // of the keys under which daemons register in the store; empty for none
-	Releases        release.Settings
-	Resources       intake.Resources   // of the process; zero means unknown
-	CallerLimits    connlimit.Settings // of connections
+	Name          string // of the daemon
+	DataCentre    string
+	Region        string
+	CallerAddress string // IP:port for callers
+	PeerAddress   string // IP:port for other daemons; also the member ID of the daemon
+	// PeerListenAddress is the IP:port that accepts other daemons, if it is not PeerAddress.
+	PeerListenAddress string
+	Seeds             []string // IP:port of peers to contact first
+	Key               []byte   // shared by the daemons of a deployment; authenticates their requests
+	RetryBudget       replica.BudgetPolicy
+	Allowances        allowance.Policy // of tenants; the zero value stands for the default
+	GracePeriod       clock.Millis     // from the stop signal to the exit of the process
+	AddressLifetime   clock.Millis     // for which callers may use the addresses they got
+	ReplicaHeaders    exchange.HeaderNames
+	CallerHeaders     frontend.HeaderNames
+	MaxProofAge       clock.Millis // of the configuration, for requests with a key; 0 for no limit
+	StorePrefix       string       // of the keys of the store that are mirrored
+	RegistryPrefix    string       // of the keys under which daemons register in the store; empty for none
+	Releases          release.Settings
+	Resources         intake.Resources   // of the process; zero means unknown
+	CallerLimits      connlimit.Settings // of connections
 }
 
 // Page is a page of a listing of the store, or a batch of its changes. More
@@ -201,7 +204,7 @@
 	if g.callerListener, err = net.Listen("tcp", config.CallerAddress); err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
 	}
-	if g.peerListener, err = net.Listen("tcp", config.PeerAddress); err != nil {
+	if g.peerListener, err = net.Listen("tcp", cmp.Or(config.PeerListenAddress, config.PeerAddress)); err != nil {
 		_ = g.callerListener.Close()
 		return nil, errors.Wrap(err, "listen for peers")
 	}
