mirror: a peer that reads the store ends removals that are held back

What callers saw: requests reached replicas up to 13 s after their entries were removed, if they entered at a daemon whose calls the store rejected while it served the others.

Cause: removals are held back for 2.2 s after a failed call of the store, since live replicas write their entries again by then. Each failure extended this. A daemon that the store rejects alone, or whose path to it is cut, fails a call every 0.3 to 1.1 s, so that it held removals as long as that lasted, although its peers had applied them and said so. Class: a fault of one's own path taken for one of the system.

Change: a daemon is settled when it has read the store, or follows one that has, for the grace period without a failure or a gap, and holds nothing back. It says so in replies to peers. Their held removals up to the revision of the reply are then applied. Without such a peer, nothing changes.

Why this works: in a settled daemon every live replica has come back, so that a key that is missing there is gone, whatever the calls of the other daemon return.

New: TestSettledPeerEndsHeldRemovals, TestPeerIsSettledOnlyAfterReadingForGracePeriod.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -66,14 +66,20 @@
 // It is not safe for concurrent use.
 type Mirror struct {
 	items             map[string]Item
-	heldUntil         map[string]clock.Millis // keys whose removal is held back, and until when
-	tombstones        []Item                  // latest removals, in the order of arrival
-	compactedRevision uint64                  // removals up to this revision may be missing in tombstones
+	held              map[string]heldRemoval // removals that are held back, by key
+	tombstones        []Item                 // latest removals, in the order of arrival
+	compactedRevision uint64                 // removals up to this revision may be missing in tombstones
 	revision          uint64
 	complete          bool
 	storeFailedAt     clock.Millis // latest failure of the store, or 0
 }
 
+// heldRemoval is a removal that is held back until an instant.
+type heldRemoval struct {
+	revision uint64
+	until    clock.Millis
+}
+
 // Complete reports whether the mirror has received a complete listing.
 func (m *Mirror) Complete() bool { return m.complete }
 
@@ -84,7 +90,7 @@
 func (m *Mirror) Len() int { return len(m.items) }
 
 // Held returns the number of items whose removal is held back.
-func (m *Mirror) Held() int { return len(m.heldUntil) }
+func (m *Mirror) Held() int { return len(m.held) }
 
 // RecordStoreFailure records that a call of the store failed at now. Removals up to
 // lapseGracePeriod later are held back, because keys may have lapsed although
@@ -146,11 +152,11 @@
 	for _, item := range items {
 		old, known := m.items[item.key]
 		if known && old.revision >= item.revision {
-			if _, held := m.heldUntil[item.key]; !held {
+			if _, held := m.held[item.key]; !held {
 				continue
 			}
 		}
-		delete(m.heldUntil, item.key)
+		delete(m.held, item.key)
 		m.items[item.key] = item
 		fresh = append(fresh, item)
 	}
@@ -169,15 +175,15 @@
 		return changes
 	}
 	if m.storeFailedAt > 0 && now < m.storeFailedAt+lapseGracePeriod {
-		if m.heldUntil == nil {
-			m.heldUntil = make(map[string]clock.Millis)
+		if m.held == nil {
+			m.held = make(map[string]heldRemoval)
 		}
-		if _, held := m.heldUntil[removal.key]; !held {
-			m.heldUntil[removal.key] = m.storeFailedAt + lapseGracePeriod
+		if _, held := m.held[removal.key]; !held {
+			m.held[removal.key] = heldRemoval{revision: removal.revision, until: m.storeFailedAt + lapseGracePeriod}
 		}
 		return changes
 	}
-	delete(m.heldUntil, removal.key)
+	delete(m.held, removal.key)
 	delete(m.items, removal.key)
 	return append(changes, removal)
 }
@@ -193,18 +199,30 @@
 
 // Expire applies the held removals whose grace period has ended, and returns them.
 func (m *Mirror) Expire(now clock.Millis) []Item {
+	return m.applyHeld(func(removal *heldRemoval) bool {
+		// A failure of the store since then extends the grace period.
+		removal.until = max(removal.until, m.storeFailedAt+lapseGracePeriod)
+		return now >= removal.until
+	})
+}
+
+// ConfirmRemovals applies the held removals up to a revision, and returns them. Another
+// daemon whose mirror has this revision has held them back for long enough.
+func (m *Mirror) ConfirmRemovals(revision uint64) []Item {
+	return m.applyHeld(func(removal *heldRemoval) bool { return removal.revision <= revision })
+}
+
+// applyHeld applies the held removals for which due returns true.
+func (m *Mirror) applyHeld(due func(removal *heldRemoval) bool) []Item {
 	var changes []Item
-	for key, until := range m.heldUntil {
-		if m.storeFailedAt+lapseGracePeriod > until {
-			// The store has failed again, which extends the grace period.
-			until = m.storeFailedAt + lapseGracePeriod
-			m.heldUntil[key] = until
-		}
-		if now >= until {
-			changes = append(changes, NewRemoval(key, m.revision))
-			delete(m.heldUntil, key)
-			delete(m.items, key)
+	for key, removal := range m.held {
+		if !due(&removal) {
+			m.held[key] = removal
+			continue
 		}
+		changes = append(changes, NewRemoval(key, m.revision))
+		delete(m.held, key)
+		delete(m.items, key)
 	}
 	slices.SortFunc(changes, func(a, b Item) int { return cmp.Compare(a.key, b.key) })
 	return changes
@@ -216,7 +234,7 @@
 func (m *Mirror) ChangesSince(after uint64) (items []Item, complete bool, revision uint64) {
 	complete = after < m.compactedRevision || after == 0
 	for key, item := range m.items {
-		if _, held := m.heldUntil[key]; !held && (complete || item.revision > after) {
+		if _, held := m.held[key]; !held && (complete || item.revision > after) {
 			items = append(items, item)
 		}
 	}
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -161,6 +161,55 @@
 	assert.Equal(t, []string{"-a"}, changedKeys(m.Expire(3000+lapseGracePeriod)))
 }
 
+// newSettledReader returns a reader with the keys of newTestMirror at revision 6, and a as
+// removed, that has read the store for long enough to be settled.
+func newSettledReader(t *testing.T, now clock.Millis) *Reader {
+	m := newTestMirror()
+	r := newTestReader(m)
+	for at := now - lapseGracePeriod - 10; at < now; at += 1000 {
+		r.HandleEvents(at, []Item{NewRemoval("a", 5)}, 6)
+	}
+	r.HandleEvents(now-10, nil, 6)
+	require.True(t, r.Settled(now))
+	return r
+}
+
+// Guards against requests to a replica that has left, at a daemon whose own calls of the
+// store go on failing: a peer that reads the store has confirmed the removal.
+func TestSettledPeerEndsHeldRemovals(t *testing.T) {
+	const now = 20_000
+	peer := newSettledReader(t, now)
+	m := newTestMirror()
+	r := newTestReader(m)
+	r.RecordFailure(now-100, ErrUnavailable)
+	items, complete, revision := peer.mirror.ChangesSince(m.Revision())
+	assert.Empty(t, r.HandlePeerReply(now, items, complete, revision, peer.Age(now)), "held back")
+	r.RecordFailure(now+1, ErrUnavailable)
+	assert.False(t, r.Settled(now+1))
+	assert.Empty(t, r.HandleSettledReply(now+1, 4, false), "of before the removal")
+	assert.Equal(t, []string{"-a"}, changedKeys(r.HandleSettledReply(now+2, revision, false)))
+	_, listed := m.Get("a")
+	assert.False(t, listed)
+	assert.Empty(t, m.Apply(now+3, []Item{item("a", 4)}, 6), "is not listed again by an older reply")
+}
+
+// Guards against the loss of replicas that are alive, by the reply of a peer that cannot
+// know yet whether their keys have lapsed.
+func TestPeerIsSettledOnlyAfterReadingForGracePeriod(t *testing.T) {
+	const now = 20_000
+	for name, disturb := range map[string]func(r *Reader){
+		"store failed":             func(r *Reader) { r.RecordFailure(now, ErrUnavailable) },
+		"store answers again":      func(r *Reader) { r.RecordFailure(now, ErrUnavailable); r.HandleEvents(now+1, nil, 6) },
+		"resumed after a gap":      func(r *Reader) { r.HandleEvents(now+maxReadGap, nil, 6) },
+		"follows an outdated peer": func(r *Reader) { *r = *newTestReader(r.mirror); r.HandleFollowReply(now, "p", nil, false, 6, 0) },
+		"follows a settled peer":   func(r *Reader) { *r = *newTestReader(r.mirror); r.HandleSettledReply(now, 6, true) },
+	} {
+		r := newSettledReader(t, now)
+		disturb(r)
+		assert.Equal(t, name == "follows a settled peer", r.Settled(max(now, r.storeAnsweredAt)+1), name)
+	}
+}
+
 // Guards against a peer that misses a removal: it must get the changes since its
 // revision, or a complete listing if the removals since then are unknown.
 func TestChangesSinceIncludesRemovals(t *testing.T) {
--- a/core/mirror/reader.go
+++ b/core/mirror/reader.go
@@ -39,6 +39,10 @@
 	maxStoreSilence     = 1500 * clock.Millisecond
 	peerRequestInterval = 700 * clock.Millisecond
 
+	// maxReadGap is the time between two answers of the store from which the daemon may
+	// have been suspended and have missed a failure of the store.
+	maxReadGap = watchInterval + watchWait + watchTimeoutMargin
+
 	// followWait is how long a followed daemon may hold a request until it has a
 	// change. Followers then receive a change as soon as the followed daemon does.
 	followWait          = 1400 * clock.Millisecond
@@ -111,6 +115,8 @@
 	callStartedAt   clock.Millis
 	failures        int // consecutive failed calls of the store
 	retryAt         clock.Millis
+	readSince       clock.Millis            // from when on the store has answered without a failure or gap, or 0
+	settledAt       clock.Millis            // latest instant at which the followed daemon was settled, or 0
 	currentAsOf     clock.Millis            // instant for which the mirror is known to be current
 	storeAnsweredAt clock.Millis            // latest answer of the store to this daemon or its source
 	peerRequestedAt clock.Millis            // latest request with StartPeerRequest, or 0
@@ -205,6 +211,9 @@
 
 // recordStoreAnswer ends the backoff after failures.
 func (r *Reader) recordStoreAnswer(now clock.Millis) {
+	if r.failures > 0 || r.readSince == 0 || now > r.storeAnsweredAt+maxReadGap {
+		r.readSince = now
+	}
 	r.failures, r.retryAt = 0, 0
 	r.currentAsOf, r.storeAnsweredAt = now, now
 }
@@ -283,6 +292,30 @@
 	r.ejectedUntil[peer] = now + sourceEjectionTime
 }
 
+// Settled reports whether the mirror shows which keys have lapsed for good: this daemon, or
+// the one that it follows, has read the store without a failure for lapseGracePeriod, and no
+// removal is held back.
+func (r *Reader) Settled(now clock.Millis) bool {
+	if !r.mirror.Complete() || r.mirror.Held() > 0 || r.failures > 0 {
+		return false
+	}
+	reads := r.readSince > 0 && now >= r.readSince+lapseGracePeriod && now <= r.storeAnsweredAt+maxSourceAge
+	return reads || (r.settledAt > 0 && now <= r.settledAt+maxSourceAge)
+}
+
+// HandleSettledReply handles a reply of a daemon that is settled, after its changes have been
+// applied, and returns the removals that it confirms. The revision is that of the reply and
+// now the instant of its arrival; followed says whether this daemon follows the other one.
+func (r *Reader) HandleSettledReply(now clock.Millis, revision uint64, followed bool) []Item {
+	if revision == 0 || r.mirror.Revision() < revision {
+		return nil
+	}
+	if followed {
+		r.settledAt = now
+	}
+	return r.mirror.ConfirmRemovals(revision)
+}
+
 // Age returns the time since the mirror was last known to be current, or since the
 // start of the daemon.
 func (r *Reader) Age(now clock.Millis) clock.Millis {
--- a/core/mirror/simulation_test.go
+++ b/core/mirror/simulation_test.go
@@ -258,7 +258,7 @@
 func (s *simulation) lacks(d *simulatedDaemon, revision uint64) bool {
 	key := fmt.Sprint(revision % 4)
 	held, listed := d.mirror.Get(key)
-	if _, lapsed := d.mirror.heldUntil[key]; listed && !lapsed {
+	if _, lapsed := d.mirror.held[key]; listed && !lapsed {
 		return held.Revision() < revision
 	}
 	for n := revision; n < uint64(len(s.commits)); n += 4 {
--- a/entry/gateway/mirror_peer.go
+++ b/entry/gateway/mirror_peer.go
@@ -107,6 +107,8 @@
 	Observations []wireObservation `cbor:"5,keyasint,omitempty"`
 	// Proof is absent if the configuration has no tenants.
 	Proof *wireProof `cbor:"6,keyasint,omitempty"`
+	// Settled means that removals up to Revision need not be held back; see mirror.Reader.
+	Settled bool `cbor:"7,keyasint,omitempty"`
 }
 
 // wireProof is a proof of freshness as it is sent between daemons. The fields are those
--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -181,14 +181,25 @@
 	}
 }
 
-// applyExpired applies the removals that need no longer be held back. The caller holds
+// applyExpired applies the removals that have been held back for long enough. The caller
+// holds the lock.
+func (s *mirrorSyncer) applyExpired(now clock.Millis) { s.applyHeld(s.mirror.Expire(now), "expired") }
+
+// applySettled applies the removals that the reply of a daemon confirms. The caller holds
 // the lock.
-func (s *mirrorSyncer) applyExpired(now clock.Millis) {
-	expired := s.mirror.Expire(now)
-	if len(expired) > 0 {
-		s.log.V(1).Info("held removals applied", "removals", len(expired), "first", expired[0].Key(), "held", s.mirror.Held())
+func (s *mirrorSyncer) applySettled(now clock.Millis, reply mirrorReply, followed bool) {
+	if reply.Settled {
+		s.applyHeld(s.reader.HandleSettledReply(now, reply.Revision, followed), "confirmed by a peer")
+	}
+}
+
+// applyHeld applies removals that were held back. The caller holds the lock.
+func (s *mirrorSyncer) applyHeld(removals []mirror.Item, cause string) {
+	if len(removals) > 0 {
+		s.log.V(1).Info("held removals applied", "removals", len(removals), "first", removals[0].Key(), "cause", cause,
+			"held", s.mirror.Held())
 	}
-	s.applyChanges(expired)
+	s.applyChanges(removals)
 }
 
 // recordOutdated counts and logs a reply that is older than the mirror was when it
@@ -239,6 +250,7 @@
 	s.handleProof(sentAt, reply)
 	s.logChanges(call.Kind().String(), call.Peer(), now-began, age, changes)
 	s.applyChanges(changes)
+	s.applySettled(now, reply, true)
 	s.applyExpired(now)
 	s.gateway.engine.ReceiveObservations(decodeObservations(reply.Observations))
 }
@@ -412,6 +424,7 @@
 	s.handleProof(sentAt, reply)
 	s.logChanges("peer", peer, now-began, age, changes)
 	s.applyChanges(changes)
+	s.applySettled(now, reply, false)
 }
 
 // waitForChanges returns the changes that a follower does not have yet. If there are
@@ -475,7 +488,7 @@
 	items, complete, revision := s.mirror.ChangesSince(request.AfterRevision)
 	reply = mirrorReply{
 		Complete: complete, Revision: revision, AgeMs: float64(s.reader.Age(s.now())),
-		Observations: encodeObservations(s.observationsFor(request.Sender)),
+		Observations: encodeObservations(s.observationsFor(request.Sender)), Settled: s.reader.Settled(s.now()),
 	}
 	for _, item := range items {
 		reply.Items = append(reply.Items, wireItem{
