mirror: peers are asked until one is current, and as soon as the store has rejected a call

What callers saw: while the store rejected the calls of several daemons, requests were run as a configuration allows that had been replaced 3 to 4 s before.

Cause: a daemon without the store asked one random peer every 0.75 s. A peer that is rejected or cut off itself replied with an outdated copy, or not at all for 1 s, and the daemon waited for the next turn all the same: with two of three peers outdated it takes 3 s or more in a fifth of the cases. It also asked for the first time only 1.5 s after the last reply of the store, although a rejection is known at once. Class: one attempt at one partner chosen at random, taken for an answer of the fleet.

Change: mirror.PeerRound decides: peers are asked one after the other, the next one after 0.2 s without a reply, up to three, until a copy is current and confirms the removals that are held back. Rounds may overlap, but not while the first copy is transferred. A failed call of the store starts one at once.

--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -290,6 +290,16 @@
 	assert.InDelta(t, 300, float64(r.Age(2000)), 1)
 }
 
+// Guards against a daemon that waits before it asks peers although the store has rejected its
+// call.
+func TestPeersAreAskedAfterFailureOfStore(t *testing.T) {
+	r := newTestReader(newTestMirror())
+	r.HandleEvents(1000, nil, 4)
+	assert.False(t, r.StartPeerRequest(1100, 0))
+	r.RecordFailure(1200, ErrUnavailable)
+	assert.True(t, r.StartPeerRequest(1200, 0))
+}
+
 // Guards against several daemons of one data centre that all read the store, and
 // against one that keeps following a source that fails or is outdated.
 func TestSourceIsFollowedUnlessEjected(t *testing.T) {
--- a/core/mirror/reader.go
+++ b/core/mirror/reader.go
@@ -120,6 +120,7 @@
 	currentAsOf     clock.Millis            // instant for which the mirror is known to be current
 	storeAnsweredAt clock.Millis            // latest answer of the store to this daemon or its source
 	peerRequestedAt clock.Millis            // latest request with StartPeerRequest, or 0
+	peerRounds      int                     // in progress
 	startedAt       clock.Millis            // start of the daemon
 	sources         []string                // daemons that may be followed, in order of preference
 	ejectedUntil    map[string]clock.Millis // by source
@@ -236,8 +237,8 @@
 	return r.failures == 1
 }
 
-// StartPeerRequest reports whether to read from the mirror of a peer now, because
-// the store has been silent or the proof is old. If so, it records the request.
+// StartPeerRequest reports whether to read from the mirror of a peer now, because the
+// store has failed or has been silent, or the proof is old. If so, it records the request.
 // SuspendingNow is the same instant on the clock that counts suspension.
 func (r *Reader) StartPeerRequest(now, suspendingNow clock.Millis) bool {
 	silence := now - max(r.storeAnsweredAt, r.startedAt)
@@ -245,7 +246,7 @@
 		// A daemon that starts reads from a peer at once, as the store may be unavailable.
 		silence += maxStoreSilence
 	}
-	if (silence < maxStoreSilence && !r.ProofOld(suspendingNow)) || (r.peerRequestedAt > 0 && now < r.peerRequestedAt+peerRequestInterval) {
+	if (silence < maxStoreSilence && r.failures == 0 && !r.ProofOld(suspendingNow)) || (r.peerRequestedAt > 0 && now < r.peerRequestedAt+peerRequestInterval) {
 		return false
 	}
 	r.peerRequestedAt = now
--- a/entry/gateway/first_copy_test.go
+++ b/entry/gateway/first_copy_test.go
@@ -1,22 +1,33 @@
 package gateway
 
 import (
+	"context"
 	"math"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/fleet"
+	"github.com/lovagegap/lovagegap/core/mirror"
 	"github.com/lovagegap/lovagegap/entry/codec"
 )
 
 // newMirrorPeer returns the address of a daemon whose mirror is at a revision and holds
 // the keys.
 func newMirrorPeer(t *testing.T, revision uint64, keys ...string) fleet.ID {
-	reply := mirrorReply{Complete: true, Revision: revision}
+	return newMirrorPeerAt(t, 0, revision, keys...)
+}
+
+// newMirrorPeerAt is like newMirrorPeer for a mirror of an age.
+func newMirrorPeerAt(t *testing.T, age clock.Millis, revision uint64, keys ...string) fleet.ID {
+	reply := mirrorReply{Complete: true, Revision: revision, AgeMs: float64(age)}
 	for _, key := range keys {
 		reply.Items = append(reply.Items, wireItem{Key: key, Revision: revision})
 	}
@@ -40,7 +51,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newTestGateway(t).mirrorSyncer
-			s.requestFromPeers(t.Context(), peers)
+			s.runPeerRound(t.Context(), startPeerRound(t, s), peers)
 			require.True(t, s.mirror.Complete())
 			assert.EqualValues(t, 9, s.mirror.Revision())
 			_, listed := s.mirror.Get("servers/left")
@@ -51,6 +62,37 @@
 	}
 }
 
+// startPeerRound starts a round of requests of a daemon whose store is silent.
+func startPeerRound(t *testing.T, s *mirrorSyncer) *mirror.PeerRound {
+	t.Helper()
+	round, due := s.reader.StartPeerRound(s.now()+clock.Minute, s.suspendingNow())
+	require.True(t, due)
+	return round
+}
+
+// Guards against changes that take effect late while the store rejects the daemon: peers that
+// are outdated or do not reply are asked before one that is current.
+func TestOutdatedPeersDoNotDelayChanges(t *testing.T) {
+	s := newTestGateway(t).mirrorSyncer
+	s.applyChanges(s.reader.HandlePage(s.now(), []mirror.Item{mirror.NewItem("servers/left", nil, 3)}, 3, false))
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer silent.Close()
+	outdated := newMirrorPeerAt(t, clock.Minute, 3, "servers/left")
+	peers := []fleet.ID{outdated, fleet.ID(silent.Addr().String()), newMirrorPeer(t, 9, "servers/stays")}
+	ctx, cancel := context.WithCancel(t.Context())
+	round := startPeerRound(t, s)
+	var running sync.WaitGroup
+	running.Go(func() { s.runPeerRound(ctx, round, peers) })
+	assert.Eventually(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.mirror.Revision() == 9
+	}, mirrorTimeout, 10*time.Millisecond, "before the silent peer is given up")
+	cancel()
+	running.Wait()
+}
+
 // FuzzPeerMessages guards against a message of a peer that ends the daemon or passes
 // with values outside of their limits.
 func FuzzPeerMessages(f *testing.F) {
--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -366,14 +366,12 @@
 // pollPeers requests changes from random peers while the store is unreachable for
 // this daemon.
 func (s *mirrorSyncer) pollPeers(ctx context.Context) {
+	var rounds sync.WaitGroup
+	defer rounds.Wait()
 	for sleep(ctx, clock.FromDuration(peerPollInterval)) {
 		s.mu.Lock()
 		now := s.now()
-		due := s.reader.StartPeerRequest(now, s.suspendingNow())
-		count := 1
-		if !s.mirror.Complete() || s.reader.ProofOld(s.suspendingNow()) {
-			count = firstCopySources
-		}
+		round, due := s.reader.StartPeerRound(now, s.suspendingNow())
 		s.applyExpired(now)
 		s.logAge(now)
 		s.mu.Unlock()
@@ -382,22 +380,44 @@
 		}
 		peers := s.gateway.tracker.LinkedPeers()
 		s.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		s.requestFromPeers(ctx, peers[:min(count, len(peers))])
+		rounds.Go(func() { s.runPeerRound(ctx, round, peers) })
 	}
 }
 
-func (s *mirrorSyncer) requestFromPeers(ctx context.Context, peers []fleet.ID) {
+// runPeerRound asks peers in the given order until the round ends. It does not wait for
+// peers that are late.
+func (s *mirrorSyncer) runPeerRound(ctx context.Context, round *mirror.PeerRound, peers []fleet.ID) {
+	var requests sync.WaitGroup
+	defer func() {
+		requests.Wait()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		round.End()
+	}()
 	for _, peer := range peers {
-		s.requestFromPeer(ctx, string(peer))
+		s.mu.Lock()
+		next, delay := round.Next(), round.Delay()
+		s.mu.Unlock()
+		if !next {
+			return
+		}
+		replied := make(chan struct{})
+		requests.Go(func() {
+			defer close(replied)
+			s.requestFromPeer(ctx, string(peer), round)
+		})
+		late := time.NewTimer(delay.Duration())
+		select {
+		case <-replied:
+		case <-late.C:
+		}
+		late.Stop()
 	}
 }
 
-// firstCopySources is the number of peers that a daemon without a copy asks, or one whose
-// proof is old. One of them may have been cut off from the store for long, and its copy may
-// list replicas that left since. The later requests transfer only what is newer.
-const firstCopySources = 3
-
-func (s *mirrorSyncer) requestFromPeer(ctx context.Context, peer string) {
+// requestFromPeer requests the changes of a peer's mirror, applies them and records the
+// reply in the round.
+func (s *mirrorSyncer) requestFromPeer(ctx context.Context, peer string, round *mirror.PeerRound) {
 	s.mu.Lock()
 	after := s.mirror.Revision()
 	if !s.mirror.Complete() {
@@ -425,6 +445,7 @@
 	s.logChanges("peer", peer, now-began, age, changes)
 	s.applyChanges(changes)
 	s.applySettled(now, reply, false)
+	round.RecordReply(reply.Revision, clock.Millis(reply.AgeMs), reply.Settled)
 }
 
 // waitForChanges returns the changes that a follower does not have yet. If there are
--- a/entry/gateway/mirror_syncer_test.go
+++ b/entry/gateway/mirror_syncer_test.go
@@ -128,7 +128,7 @@
 	var reading sync.WaitGroup
 	reading.Go(func() { s.readStore(t.Context(), call) })
 	<-store.called
-	s.requestFromPeer(t.Context(), string(newMirrorPeer(t, 9, "servers/stays")))
+	s.requestFromPeer(t.Context(), string(newMirrorPeer(t, 9, "servers/stays")), startPeerRound(t, s))
 	close(store.sent)
 	reading.Wait()
 	_, listed := s.mirror.Get("servers/left")
