mirror: failed calls extend the hold of removals only while the store answers no peer

Cause: as for settled peers, at a moment when there was none: of the three peers two were cut off and one had just restarted. The daemon knew the removal from that one, and its own failed call 0.2 s later extended the hold by 2.2 s.

Change: a failed call counts as a failure of the store, in which keys may lapse, only if no peer has shown within 1.6 s that the store answers it. While the store answers nobody, the ages of all copies grow, and failures count as before.

TestOnlyFailuresOfStoreExtendGracePeriod fails without the change.

--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -193,6 +193,29 @@
 	assert.Empty(t, m.Apply(now+3, []Item{item("a", 4)}, 6), "is not listed again by an older reply")
 }
 
+// Guards against requests to a replica that has left, at a daemon whose calls fail although the
+// store answers its peers, none of which is settled; and against the loss of replicas that are
+// alive while the store answers nobody.
+func TestOnlyFailuresOfStoreExtendGracePeriod(t *testing.T) {
+	for name, age := range map[string]clock.Millis{"store answers peers": 100, "store answers nobody": 5000} {
+		t.Run(name, func(t *testing.T) {
+			m := newTestMirror()
+			r := newTestReader(m)
+			r.RecordFailure(10_000, ErrUnavailable)
+			assert.Empty(t, r.HandlePeerReply(10_100, []Item{NewRemoval("a", 5)}, false, 5, age), "held back")
+			for at := clock.Millis(11_000); at < 16_000; at += 1000 {
+				r.RecordFailure(at, ErrUnavailable)
+				r.HandlePeerReply(at+100, nil, false, 5, age+map[bool]clock.Millis{true: at - 10_000}[age > maxSourceAge])
+			}
+			var want []string
+			if age <= maxSourceAge {
+				want = []string{"-a"}
+			}
+			assert.Equal(t, want, changedKeys(m.Expire(10_000+lapseGracePeriod)))
+		})
+	}
+}
+
 // Guards against the loss of replicas that are alive, by the reply of a peer that cannot
 // know yet whether their keys have lapsed.
 func TestPeerIsSettledOnlyAfterReadingForGracePeriod(t *testing.T) {
--- a/core/mirror/reader.go
+++ b/core/mirror/reader.go
@@ -118,6 +118,7 @@
 	readSince       clock.Millis            // from when on the store has answered without a failure or gap, or 0
 	settledAt       clock.Millis            // latest instant at which the followed daemon was settled, or 0
 	currentAsOf     clock.Millis            // instant for which the mirror is known to be current
+	peerAsOf        clock.Millis            // instant for which a reply of a peer was current, or 0
 	storeAnsweredAt clock.Millis            // latest answer of the store to this daemon or its source
 	peerRequestedAt clock.Millis            // latest request with StartPeerRequest, or 0
 	peerRounds      int                     // in progress
@@ -229,7 +230,10 @@
 		r.currentAsOf, r.storeAnsweredAt = now, now
 		return false
 	}
-	r.mirror.RecordStoreFailure(now)
+	if r.peerAsOf == 0 || now > r.peerAsOf+maxSourceAge {
+		// Otherwise the store answers peers, so that keys do not lapse.
+		r.mirror.RecordStoreFailure(now)
+	}
 	r.failures++
 	r.afterKey = ""
 	backoff := min(maxRetryDelay, minRetryDelay*clock.Millis(uint(1)<<min(r.failures-1, maxRetryDoublings)))
@@ -262,7 +266,8 @@
 	if revision < r.mirror.Revision() || revision == 0 {
 		return nil
 	}
-	r.currentAsOf = max(r.currentAsOf, now-age)
+	r.peerAsOf = max(r.peerAsOf, now-age)
+	r.currentAsOf = max(r.currentAsOf, r.peerAsOf)
 	if complete {
 		return r.mirror.Replace(now, items, revision)
 	}
