mirror: replies of the store and of peers are dated by their calls

What callers saw: none of this is shown to be in the users' record. In a model of the reader, changes took up to 3.2 s to arrive, beyond the bound of 3 s, while the replies of the store to one daemon were late by up to 2.5 s and a peer knew every change.

Cause: a reply was dated at its arrival, however long it had been on its way, so that a mirror looked newer than it was, the daemon asked its peers too late, and daemons that copied the mirror took it for current. A reply that the history is compacted counted as current although it says nothing about the changes.

Change: a reply is dated no later than 150 ms after the end of the wait that its call allows, whether it comes from the store or a peer (AgeAtArrival). Peers are asked once the store has been silent for that long: 1.35 s instead of 1.5 s.

The process tests pass, at most 2.5 s.

--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -167,8 +167,10 @@
 	m := newTestMirror()
 	r := newTestReader(m)
 	for at := now - lapseGracePeriod - 10; at < now; at += 1000 {
+		r.Begin(at, at)
 		r.HandleEvents(at, []Item{NewRemoval("a", 5)}, 6)
 	}
+	r.Begin(now-10, now-10)
 	r.HandleEvents(now-10, nil, 6)
 	require.True(t, r.Settled(now))
 	return r
@@ -221,9 +223,12 @@
 func TestPeerIsSettledOnlyAfterReadingForGracePeriod(t *testing.T) {
 	const now = 20_000
 	for name, disturb := range map[string]func(r *Reader){
-		"store failed":             func(r *Reader) { r.RecordFailure(now, ErrUnavailable) },
-		"store answers again":      func(r *Reader) { r.RecordFailure(now, ErrUnavailable); r.HandleEvents(now+1, nil, 6) },
-		"resumed after a gap":      func(r *Reader) { r.HandleEvents(now+maxReadGap, nil, 6) },
+		"store failed":        func(r *Reader) { r.RecordFailure(now, ErrUnavailable) },
+		"store answers again": func(r *Reader) { r.RecordFailure(now, ErrUnavailable); r.HandleEvents(now+1, nil, 6) },
+		"resumed after a gap": func(r *Reader) {
+			r.Begin(now+maxReadGap, 0)
+			r.HandleEvents(now+maxReadGap, nil, 6)
+		},
 		"follows an outdated peer": func(r *Reader) { *r = *newTestReader(r.mirror); r.HandleFollowReply(now, "p", nil, false, 6, 0) },
 		"follows a settled peer":   func(r *Reader) { *r = *newTestReader(r.mirror); r.HandleSettledReply(now, 6, true) },
 	} {
--- a/core/mirror/reader.go
+++ b/core/mirror/reader.go
@@ -36,13 +36,16 @@
 	retryJitter = 0.4
 	// maxStoreSilence is the time without an answer of the store after which the
 	// daemon reads from the mirrors of peers.
-	maxStoreSilence     = 1500 * clock.Millisecond
+	maxStoreSilence     = watchWait + replyDelay
 	peerRequestInterval = 700 * clock.Millisecond
 
 	// maxReadGap is the time between two answers of the store from which the daemon may
 	// have been suspended and have missed a failure of the store.
 	maxReadGap = watchInterval + watchWait + watchTimeoutMargin
 
+	// replyDelay is how long a reply may be on its way before it is dated back.
+	replyDelay = 150 * clock.Millisecond
+
 	// followWait is how long a followed daemon may hold a request until it has a
 	// change. Followers then receive a change as soon as the followed daemon does.
 	followWait          = 1400 * clock.Millisecond
@@ -113,7 +116,8 @@
 	listingRevision uint64 // revision of its first page
 	needsListing    bool
 	callStartedAt   clock.Millis
-	failures        int // consecutive failed calls of the store
+	callWait        clock.Millis // of the call that Next has returned last
+	failures        int          // consecutive failed calls of the store
 	retryAt         clock.Millis
 	readSince       clock.Millis            // from when on the store has answered without a failure or gap, or 0
 	settledAt       clock.Millis            // latest instant at which the followed daemon was settled, or 0
@@ -159,6 +163,12 @@
 
 // Next returns the call to make next. The first listing always comes from the store.
 func (r *Reader) Next(now clock.Millis) Call {
+	call := r.plan(now)
+	r.callWait = call.wait
+	return call
+}
+
+func (r *Reader) plan(now clock.Millis) Call {
 	if peer, ok := r.currentSource(now); ok && !r.needsListing {
 		return Call{
 			kind: Follow, peer: peer, at: max(now, r.callStartedAt+followInterval), afterRevision: r.mirror.Revision(),
@@ -211,13 +221,27 @@
 	return changes
 }
 
+// sentBy returns the instant that a reply at now to a call is dated at. A reply is sent by
+// the end of the wait of its call; the time by which it comes later than replyDelay after that
+// is the age of what it says.
+func sentBy(now, callStartedAt, wait clock.Millis) clock.Millis {
+	return min(now, callStartedAt+wait+replyDelay)
+}
+
+// AgeAtArrival returns the age of the mirror of a peer at the arrival of the reply that states
+// an age. The request took the given time, and allowed the peer to wait.
+func AgeAtArrival(stated, took, wait clock.Millis) clock.Millis {
+	return stated + max(0, took-wait-replyDelay)
+}
+
 // recordStoreAnswer ends the backoff after failures.
 func (r *Reader) recordStoreAnswer(now clock.Millis) {
 	if r.failures > 0 || r.readSince == 0 || now > r.storeAnsweredAt+maxReadGap {
 		r.readSince = now
 	}
 	r.failures, r.retryAt = 0, 0
-	r.currentAsOf, r.storeAnsweredAt = now, now
+	sent := sentBy(now, r.callStartedAt, r.callWait)
+	r.currentAsOf, r.storeAnsweredAt = max(r.currentAsOf, sent), max(r.storeAnsweredAt, sent)
 }
 
 // RecordFailure records the error of a List or Watch. ErrCompacted causes a new
@@ -227,7 +251,6 @@
 func (r *Reader) RecordFailure(now clock.Millis, err error) bool {
 	if errors.Is(err, ErrCompacted) {
 		r.needsListing, r.afterKey = true, ""
-		r.currentAsOf, r.storeAnsweredAt = now, now
 		return false
 	}
 	if r.peerAsOf == 0 || now > r.peerAsOf+maxSourceAge {
@@ -259,7 +282,7 @@
 
 // HandlePeerReply applies the reply of a peer and returns the changes. Complete,
 // items and revision are the results of the peer's Mirror.ChangesSince, and age is
-// that of its Reader.Age. A reply that is older than the mirror is ignored.
+// that of its Reader.Age, by AgeAtArrival. A reply that is older than the mirror is ignored.
 func (r *Reader) HandlePeerReply(
 	now clock.Millis, items []Item, complete bool, revision uint64, age clock.Millis,
 ) []Item {
--- a/core/mirror/simulation_test.go
+++ b/core/mirror/simulation_test.go
@@ -209,8 +209,9 @@
 		return
 	}
 	proof, proven := peer.reader.StateProof(local, c.arrivedAt)
-	age := peer.reader.Age(local)
+	stated := peer.reader.Age(local)
 	c.answer(s.now, s.delay(), func(now clock.Millis) {
+		age := AgeAtArrival(stated, now-c.sentAt-d.offset, c.call.Wait())
 		if poll {
 			d.reader.HandlePeerReply(now, items, complete, revision, age)
 		} else {
--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -245,7 +245,7 @@
 	age := s.reader.Age(now)
 	mirrored := s.mirror.Revision()
 	changes := s.reader.HandleFollowReply(now, call.Peer(), reply.items(), reply.Complete, reply.Revision,
-		clock.Millis(reply.AgeMs))
+		mirror.AgeAtArrival(clock.Millis(reply.AgeMs), now-began, call.Wait()))
 	s.recordOutdated(call.Kind().String(), mirrored, reply.Revision, changes)
 	s.handleProof(sentAt, reply)
 	s.logChanges(call.Kind().String(), call.Peer(), now-began, age, changes)
@@ -439,13 +439,14 @@
 	}
 	age := s.reader.Age(now)
 	mirrored := s.mirror.Revision()
-	changes := s.reader.HandlePeerReply(now, reply.items(), reply.Complete, reply.Revision, clock.Millis(reply.AgeMs))
+	peerAge := mirror.AgeAtArrival(clock.Millis(reply.AgeMs), now-began, 0)
+	changes := s.reader.HandlePeerReply(now, reply.items(), reply.Complete, reply.Revision, peerAge)
 	s.recordOutdated("peer", mirrored, reply.Revision, changes)
 	s.handleProof(sentAt, reply)
 	s.logChanges("peer", peer, now-began, age, changes)
 	s.applyChanges(changes)
 	s.applySettled(now, reply, false)
-	round.RecordReply(reply.Revision, clock.Millis(reply.AgeMs), reply.Settled)
+	round.RecordReply(reply.Revision, peerAge, reply.Settled)
 }
 
 // waitForChanges returns the changes that a follower does not have yet. If there are
