mirror: a late reply of the store is applied, and delays no further call

Callers: requests that an outdated configuration or list of replicas allows, at a daemon whose replies of the store are delayed and that has no current peer; none is served by a daemon that starts while each reply takes longer than its timeout.

Cause: the next call of the store began only when the one before had its reply or had failed, and a failed call was cancelled although its reply was on its way. With replies late by 1.6 s a change waited for two of them in a row; with 1 s and more the first listing (0.9 s) never ended.

Change: a watch whose reply is overdue by 150 ms no longer delays the next one. A call without a reply fails at its timeout as before, so that peers are asked and removals are held back, but stays open until 5 s after its start, and a reply that comes by then is applied. Calls now carry their start, so that replies in any order are dated by their own calls; a page counts only for the listing that waits for it; the failure of a call that a later one has overtaken doesn't count. Tests pass the call to the handlers, as the syncer does. In TestSlowStoreIsRead and the simulation of the mirror calls overlap, too.

--- a/core/mirror/late_test.go
+++ b/core/mirror/late_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -21,55 +22,87 @@
 	revision uint64
 }
 
+// delayedCall is a call of the store that is open.
+type delayedCall struct {
+	call   Call
+	sentAt clock.Millis
+	reply  *pendingReply
+	failed bool
+}
+
+// delayedStore makes the calls of a reader, and answers each one after a delay.
+type delayedStore struct {
+	reader *Reader
+	delay  func() clock.Millis
+	calls  []*delayedCall
+}
+
+// step handles what is due at an instant at which the store has the given revision.
+func (s *delayedStore) step(now clock.Millis, newest uint64) {
+	busy := slices.ContainsFunc(s.calls, func(c *delayedCall) bool { return !c.failed && now < c.sentAt+c.call.Overdue() })
+	if next := s.reader.Next(now); !busy && next.At() <= now {
+		s.calls = append(s.calls, &delayedCall{call: s.reader.Begin(next, now, now), sentAt: now})
+	}
+	s.calls = slices.DeleteFunc(s.calls, func(c *delayedCall) bool {
+		due := c.call.Kind() == List || newest > c.call.AfterRevision() || now >= c.sentAt+c.call.Wait()
+		if due && c.reply == nil {
+			c.reply = &pendingReply{now + s.delay(), newest}
+		}
+		if c.reply != nil && now >= c.reply.at {
+			if c.call.Kind() == List {
+				s.reader.HandlePage(c.call, now, nil, c.reply.revision, false)
+			} else {
+				s.reader.HandleEvents(c.call, now, nil, c.reply.revision)
+			}
+			return true
+		}
+		if !c.failed && now >= c.sentAt+c.call.Timeout() {
+			c.failed = true
+			s.reader.RecordFailure(c.call, now, ErrNoReply)
+		}
+		return now >= c.sentAt+c.call.Limit()
+	})
+}
+
+// noPeer is the distance of a peer that does not exist.
+const noPeer clock.Millis = -1
+
 // longestLateness returns the longest time from a change to its arrival in the mirror of a
-// daemon, if the replies of the store are delayed and a peer at a distance always knows the
-// last change.
-func longestLateness(seed uint64, delay func(random *rand.Rand) clock.Millis, peerDistance clock.Millis) clock.Millis {
+// daemon, if the replies of the store are delayed and a peer at a distance always knows the last
+// change. The time of a change from before inTouchAt counts from then.
+func longestLateness(seed uint64, delay func(random *rand.Rand) clock.Millis, peerDistance, inTouchAt clock.Millis) clock.Millis {
 	const step, length = 5 * clock.Millisecond, 2 * clock.Minute
 	random := rand.New(rand.NewPCG(seed, 3))
 	var m Mirror
 	r := NewReader(1, &m, random)
-	r.HandlePage(1, nil, 1, false)
+	if inTouchAt == 0 {
+		r.HandlePage(Call{}, 1, nil, 1, false)
+	}
+	store := &delayedStore{reader: r, delay: func() clock.Millis { return delay(random) }}
 	commits := []clock.Millis{0, 0} // by revision
 	arrived := uint64(1)
 	var longest, nextCommit clock.Millis
-	var call Call
 	var round *PeerRound
-	var storeReply, peerReply *pendingReply
-	calling, callSent := false, clock.Millis(0)
+	var peerReply *pendingReply
 	for now := clock.Millis(10); now < length; now += step {
 		if now >= nextCommit {
 			commits = append(commits, now)
 			nextCommit = now + 50 + 400*clock.Millis(random.Float64())
 		}
 		newest := uint64(len(commits) - 1)
-		if next := r.Next(now); !calling && next.At() <= now {
-			call, calling, callSent = next, true, now
-			r.Begin(now, now)
-		}
-		if calling && storeReply == nil && (newest > call.AfterRevision() || now >= callSent+call.Wait()) {
-			storeReply = &pendingReply{now + delay(random), newest}
-		}
-		switch {
-		case storeReply != nil && now >= storeReply.at:
-			r.HandleEvents(now, nil, storeReply.revision)
-			calling, storeReply = false, nil
-		case calling && now >= callSent+call.Timeout():
-			r.RecordFailure(now, ErrUnavailable)
-			calling, storeReply = false, nil
-		}
-		if started, due := r.StartPeerRound(now, now); due && peerReply == nil {
+		store.step(now, newest)
+		if started, due := r.StartPeerRound(now, now); due && peerReply == nil && peerDistance != noPeer {
 			round, peerReply = started, &pendingReply{now + 2*peerDistance, newest}
 		} else if due {
 			started.End()
 		}
 		if peerReply != nil && now >= peerReply.at {
-			r.HandlePeerReply(now, nil, false, peerReply.revision, peerDistance)
+			r.HandlePeerReply(now, nil, !m.Complete(), peerReply.revision, peerDistance)
 			round.End()
 			peerReply = nil
 		}
 		for ; arrived < m.Revision(); arrived++ {
-			longest = max(longest, now-commits[arrived+1])
+			longest = max(longest, now-max(commits[arrived+1], inTouchAt))
 		}
 	}
 	if arrived < uint64(len(commits)-1) {
@@ -90,29 +123,82 @@
 	for name, delay := range delays {
 		for _, distance := range []clock.Millis{20, 120} {
 			for seed := range uint64(10) {
-				assert.LessOrEqual(t, longestLateness(seed, delay, distance), changeBound,
+				assert.LessOrEqual(t, longestLateness(seed, delay, distance, 0), changeBound,
 					"replies late by %s, peer at %v, seed %d", name, distance, seed)
 			}
 		}
 	}
 }
 
+// Guards against a daemon without peers that learns of changes late, or never, because it waits
+// for a delayed reply before its next call, and gives up calls whose replies still come. The
+// daemon starts and is in touch 4 s later.
+func TestSlowStoreIsRead(t *testing.T) {
+	for delay, bound := range map[clock.Millis]clock.Millis{
+		1000: changeBound, 1400: changeBound, 1600: changeBound,
+		// From here on calls fail before their replies come.
+		2000: 2000 + 3*clock.Second, 3000: 3000 + 3*clock.Second, 3700: 3700 + 3*clock.Second,
+	} {
+		for seed := range uint64(10) {
+			lateness := longestLateness(seed, func(*rand.Rand) clock.Millis { return delay }, noPeer, 4*clock.Second)
+			assert.LessOrEqual(t, lateness, bound, "replies late by %v, seed %d", delay, seed)
+		}
+	}
+}
+
 // Guards against a mirror that looks newer than it is after a delayed reply, and against one
 // that looks current because the store has no changes for it.
 func TestDelayedRepliesAreDatedBack(t *testing.T) {
 	r := newTestReader(newTestMirror())
-	r.HandlePage(1, nil, 3, false)
-	require.Equal(t, Watch, r.Next(2000).Kind())
-	r.Begin(2000, 2000)
-	r.HandleEvents(2000+watchWait+replyDelay, nil, 4)
+	r.HandlePage(Call{}, 1, nil, 3, false)
+	call := r.Begin(r.Next(2000), 2000, 2000)
+	require.Equal(t, Watch, call.Kind())
+	r.HandleEvents(call, 2000+watchWait+replyDelay, nil, 4)
 	assert.Zero(t, r.Age(2000+watchWait+replyDelay))
-	r.Next(4000)
-	r.Begin(4000, 4000)
-	r.HandleEvents(4000+watchWait+replyDelay+400, nil, 4)
+	call = r.Begin(r.Next(4000), 4000, 4000)
+	r.HandleEvents(call, 4000+watchWait+replyDelay+400, nil, 4)
 	assert.EqualValues(t, 400, r.Age(4000+watchWait+replyDelay+400))
-	r.RecordFailure(8000, ErrCompacted)
+	r.RecordFailure(call, 8000, ErrCompacted)
 	assert.EqualValues(t, 8000-4000-watchWait-replyDelay, r.Age(8000))
 
 	assert.EqualValues(t, 100, AgeAtArrival(100, watchWait+replyDelay, watchWait))
 	assert.EqualValues(t, 150, AgeAtArrival(100, watchWait+replyDelay+50, watchWait))
 }
+
+// Guards against a listing that lacks changes, because it has a page of an earlier listing, and
+// against one that does not end, because its pages come after their timeouts.
+func TestLatePagesBelongToTheirListing(t *testing.T) {
+	r := newTestReader(&Mirror{})
+	first := r.Begin(r.Next(0), 0, 0)
+	r.RecordFailure(first, listTimeout, ErrNoReply)
+	again := r.Begin(r.Next(1500), 1500, 1500)
+	r.HandlePage(first, 1600, []Item{item("a", 1)}, 10, true)
+	second := r.Begin(r.Next(1700), 1700, 1700)
+	require.Equal(t, "a", second.AfterKey())
+	assert.Empty(t, r.HandlePage(again, 1800, []Item{item("x", 11)}, 11, false), "the second page is waited for")
+
+	r.RecordFailure(second, 2000, ErrUnavailable)
+	assert.Empty(t, r.Next(2100).AfterKey(), "an error begins a new listing")
+	r.HandlePage(r.Begin(r.Next(3000), 3000, 3000), 3000, []Item{item("a", 1)}, 20, true)
+	assert.Empty(t, r.HandlePage(second, 3100, nil, 12, false), "of the earlier listing")
+	second = r.Begin(r.Next(3200), 3200, 3200)
+	assert.Equal(t, []string{"a", "b"}, changedKeys(r.HandlePage(second, 3300, []Item{item("b", 15)}, 20, false)))
+	assert.EqualValues(t, 20, r.mirror.Revision())
+}
+
+// Guards against held removals and a new listing because a call fails that a later one has
+// overtaken.
+func TestFailureOfOvertakenCallIsIgnored(t *testing.T) {
+	for name, err := range map[string]error{"no reply": ErrNoReply, "error": ErrUnavailable, "compacted": ErrCompacted} {
+		t.Run(name, func(t *testing.T) {
+			r := newTestReader(&Mirror{})
+			r.HandlePage(Call{}, 10, []Item{item("a", 1)}, 10, false)
+			overtaken := r.Begin(r.Next(2000), 2000, 2000)
+			r.HandleEvents(r.Begin(r.Next(3400), 3400, 3400), 3500, []Item{item("b", 11)}, 11)
+			assert.False(t, r.RecordFailure(overtaken, 3900, err))
+			assert.True(t, r.StoreReachable())
+			assert.Equal(t, Watch, r.Next(3900).Kind())
+			assert.Equal(t, []string{"-a"}, changedKeys(r.mirror.Apply(4000, []Item{NewRemoval("a", 12)}, 12)), "is not held back")
+		})
+	}
+}
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -46,7 +46,9 @@
 // peer is delayed, and the mirror has learnt of the removal in the meantime.
 func TestDelayedReplyDoesNotRestoreRemovedKey(t *testing.T) {
 	for name, handle := range map[string]func(r *Reader, items []Item, revision uint64) []Item{
-		"watch": func(r *Reader, items []Item, revision uint64) []Item { return r.HandleEvents(30, items, revision) },
+		"watch": func(r *Reader, items []Item, revision uint64) []Item {
+			return r.HandleEvents(Call{}, 30, items, revision)
+		},
 		"peer": func(r *Reader, items []Item, revision uint64) []Item {
 			return r.HandlePeerReply(30, items, false, revision, 0)
 		},
@@ -167,11 +169,10 @@
 	m := newTestMirror()
 	r := newTestReader(m)
 	for at := now - lapseGracePeriod - 10; at < now; at += 1000 {
-		r.Begin(at, at)
-		r.HandleEvents(at, []Item{NewRemoval("a", 5)}, 6)
+		call := r.Begin(r.Next(at), at, at)
+		r.HandleEvents(call, at, []Item{NewRemoval("a", 5)}, 6)
 	}
-	r.Begin(now-10, now-10)
-	r.HandleEvents(now-10, nil, 6)
+	r.HandleEvents(r.Begin(r.Next(now-10), now-10, now-10), now-10, nil, 6)
 	require.True(t, r.Settled(now))
 	return r
 }
@@ -183,10 +184,10 @@
 	peer := newSettledReader(t, now)
 	m := newTestMirror()
 	r := newTestReader(m)
-	r.RecordFailure(now-100, ErrUnavailable)
+	r.RecordFailure(Call{}, now-100, ErrUnavailable)
 	items, complete, revision := peer.mirror.ChangesSince(m.Revision())
 	assert.Empty(t, r.HandlePeerReply(now, items, complete, revision, peer.Age(now)), "held back")
-	r.RecordFailure(now+1, ErrUnavailable)
+	r.RecordFailure(Call{}, now+1, ErrUnavailable)
 	assert.False(t, r.Settled(now+1))
 	assert.Empty(t, r.HandleSettledReply(now+1, 4, false), "of before the removal")
 	assert.Equal(t, []string{"-a"}, changedKeys(r.HandleSettledReply(now+2, revision, false)))
@@ -203,10 +204,10 @@
 		t.Run(name, func(t *testing.T) {
 			m := newTestMirror()
 			r := newTestReader(m)
-			r.RecordFailure(10_000, ErrUnavailable)
+			r.RecordFailure(Call{}, 10_000, ErrUnavailable)
 			assert.Empty(t, r.HandlePeerReply(10_100, []Item{NewRemoval("a", 5)}, false, 5, age), "held back")
 			for at := clock.Millis(11_000); at < 16_000; at += 1000 {
-				r.RecordFailure(at, ErrUnavailable)
+				r.RecordFailure(Call{}, at, ErrUnavailable)
 				r.HandlePeerReply(at+100, nil, false, 5, age+map[bool]clock.Millis{true: at - 10_000}[age > maxSourceAge])
 			}
 			var want []string
@@ -223,11 +224,14 @@
 func TestPeerIsSettledOnlyAfterReadingForGracePeriod(t *testing.T) {
 	const now = 20_000
 	for name, disturb := range map[string]func(r *Reader){
-		"store failed":        func(r *Reader) { r.RecordFailure(now, ErrUnavailable) },
-		"store answers again": func(r *Reader) { r.RecordFailure(now, ErrUnavailable); r.HandleEvents(now+1, nil, 6) },
+		"store failed": func(r *Reader) { r.RecordFailure(r.Begin(r.Next(now), now, now), now, ErrUnavailable) },
+		"store answers again": func(r *Reader) {
+			r.RecordFailure(r.Begin(r.Next(now), now, now), now, ErrUnavailable)
+			r.HandleEvents(r.Begin(r.Next(now+1), now+1, now+1), now+1, nil, 6)
+		},
 		"resumed after a gap": func(r *Reader) {
-			r.Begin(now+maxReadGap, 0)
-			r.HandleEvents(now+maxReadGap, nil, 6)
+			call := r.Begin(r.Next(now+maxReadGap), now+maxReadGap, 0)
+			r.HandleEvents(call, now+maxReadGap, nil, 6)
 		},
 		"follows an outdated peer": func(r *Reader) { *r = *newTestReader(r.mirror); r.HandleFollowReply(now, "p", nil, false, 6, 0) },
 		"follows a settled peer":   func(r *Reader) { *r = *newTestReader(r.mirror); r.HandleSettledReply(now, 6, true) },
@@ -259,10 +263,9 @@
 func TestCallsArePaced(t *testing.T) {
 	var m Mirror
 	r := newTestReader(&m)
-	call := r.Next(0)
+	call := r.Begin(r.Next(0), 0, 0)
 	assert.Equal(t, List, call.Kind())
-	r.Begin(0, 0)
-	r.HandlePage(5, []Item{item("a", 1)}, 7, false)
+	r.HandlePage(call, 5, []Item{item("a", 1)}, 7, false)
 	call = r.Next(6)
 	assert.Equal(t, Watch, call.Kind())
 	assert.Equal(t, uint64(7), call.AfterRevision())
@@ -270,8 +273,8 @@
 	var delays []clock.Millis
 	now := clock.Millis(2000)
 	for range 6 {
-		r.Begin(now, now)
-		r.RecordFailure(now, ErrUnavailable)
+		call = r.Begin(r.Next(now), now, now)
+		r.RecordFailure(call, now, ErrUnavailable)
 		delays = append(delays, r.Next(now).At()-now)
 		now = r.Next(now).At()
 	}
@@ -284,9 +287,10 @@
 func TestListingHasRevisionOfFirstPage(t *testing.T) {
 	var m Mirror
 	r := newTestReader(&m)
-	assert.Empty(t, r.HandlePage(1, []Item{item("a", 1)}, 10, true))
-	assert.Equal(t, "a", r.Next(1).AfterKey())
-	assert.Equal(t, []string{"a", "b"}, changedKeys(r.HandlePage(2, []Item{item("b", 12)}, 15, false)))
+	assert.Empty(t, r.HandlePage(Call{}, 1, []Item{item("a", 1)}, 10, true))
+	call := r.Next(1)
+	assert.Equal(t, "a", call.AfterKey())
+	assert.Equal(t, []string{"a", "b"}, changedKeys(r.HandlePage(call, 2, []Item{item("b", 12)}, 15, false)))
 	assert.Equal(t, uint64(10), m.Revision())
 }
 
@@ -295,10 +299,11 @@
 func TestCompactedHistoryCausesNewListing(t *testing.T) {
 	var m Mirror
 	r := newTestReader(&m)
-	r.HandlePage(1, []Item{item("a", 1)}, 10, false)
-	r.RecordFailure(2, ErrCompacted)
-	assert.Equal(t, List, r.Next(2).Kind())
-	assert.Equal(t, []string{"-a", "b"}, changedKeys(r.HandlePage(3, []Item{item("b", 20)}, 20, false)))
+	r.HandlePage(Call{}, 1, []Item{item("a", 1)}, 10, false)
+	r.RecordFailure(Call{}, 2, ErrCompacted)
+	call := r.Begin(r.Next(2), 2, 2)
+	assert.Equal(t, List, call.Kind())
+	assert.Equal(t, []string{"-a", "b"}, changedKeys(r.HandlePage(call, 3, []Item{item("b", 20)}, 20, false)))
 }
 
 // Guards against a mirror that stays outdated while the store does not answer this
@@ -309,7 +314,7 @@
 	r := newTestReader(&m)
 	assert.True(t, r.StartPeerRequest(1, 0), "a daemon that starts asks at once")
 	assert.Equal(t, []string{"a"}, changedKeys(r.HandlePeerReply(5, []Item{item("a", 3)}, true, 3, 100)))
-	r.HandlePage(10, []Item{item("a", 3)}, 4, false)
+	r.HandlePage(Call{}, 10, []Item{item("a", 3)}, 4, false)
 	assert.False(t, r.StartPeerRequest(100, 0))
 	assert.True(t, r.StartPeerRequest(10+maxStoreSilence, 0))
 	assert.False(t, r.StartPeerRequest(11+maxStoreSilence, 0), "within peerRequestInterval")
@@ -322,9 +327,9 @@
 // call.
 func TestPeersAreAskedAfterFailureOfStore(t *testing.T) {
 	r := newTestReader(newTestMirror())
-	r.HandleEvents(1000, nil, 4)
+	r.HandleEvents(Call{}, 1000, nil, 4)
 	assert.False(t, r.StartPeerRequest(1100, 0))
-	r.RecordFailure(1200, ErrUnavailable)
+	r.RecordFailure(Call{}, 1200, ErrUnavailable)
 	assert.True(t, r.StartPeerRequest(1200, 0))
 }
 
@@ -335,7 +340,7 @@
 	r := newTestReader(&m)
 	r.SetSources([]string{"p1", "p2"})
 	assert.Equal(t, List, r.Next(0).Kind(), "the first listing comes from the store")
-	r.HandlePage(1, []Item{item("a", 1)}, 10, false)
+	r.HandlePage(Call{}, 1, []Item{item("a", 1)}, 10, false)
 	call := r.Next(2)
 	assert.Equal(t, Follow, call.Kind())
 	assert.Equal(t, "p1", call.Peer())
--- a/core/mirror/proof_test.go
+++ b/core/mirror/proof_test.go
@@ -17,8 +17,8 @@
 func newProvenReader() *Reader {
 	r := newTestReader(&Mirror{})
 	r.SetMaxProofAge(MaxProofAge(testRevocation))
-	r.Begin(1000, 1000)
-	r.HandlePage(1010, []Item{item("a", 1)}, 10, false)
+	call := r.Begin(r.Next(1000), 1000, 1000)
+	r.HandlePage(call, 1010, []Item{item("a", 1)}, 10, false)
 	return r
 }
 
@@ -30,54 +30,54 @@
 		expected clock.Millis
 	}{
 		"store silent": {func(r *Reader) {
-			r.Begin(2100, 2100)
-			r.RecordFailure(4000, ErrUnavailable)
+			call := r.Begin(r.Next(2100), 2100, 2100)
+			r.RecordFailure(call, 4000, ErrUnavailable)
 		}, 1000},
 		"watch answered late": {func(r *Reader) {
-			r.Begin(2100, 2100)
-			r.HandleEvents(3900, []Item{item("b", 11)}, 11)
+			call := r.Begin(r.Next(2100), 2100, 2100)
+			r.HandleEvents(call, 3900, []Item{item("b", 11)}, 11)
 		}, 2100},
 		"watch behind the mirror": {func(r *Reader) {
-			r.Begin(2100, 2100)
-			r.HandleEvents(2110, nil, 9)
+			call := r.Begin(r.Next(2100), 2100, 2100)
+			r.HandleEvents(call, 2110, nil, 9)
 		}, 1000},
 		"compacted": {func(r *Reader) {
-			r.Begin(2100, 2100)
-			r.RecordFailure(2110, ErrCompacted)
+			call := r.Begin(r.Next(2100), 2100, 2100)
+			r.RecordFailure(call, 2110, ErrCompacted)
 		}, 1000},
 		"listing after compaction": {func(r *Reader) {
-			r.RecordFailure(2110, ErrCompacted)
-			r.Begin(2200, 2200)
-			r.HandlePage(2210, []Item{item("a", 20)}, 20, false)
+			r.RecordFailure(Call{}, 2110, ErrCompacted)
+			call := r.Begin(r.Next(2200), 2200, 2200)
+			r.HandlePage(call, 2210, []Item{item("a", 20)}, 20, false)
 		}, 2200},
 		"listing unfinished": {func(r *Reader) {
-			r.RecordFailure(2110, ErrCompacted)
-			r.Begin(2200, 2200)
-			r.HandlePage(2210, []Item{item("a", 20)}, 20, true)
+			r.RecordFailure(Call{}, 2110, ErrCompacted)
+			call := r.Begin(r.Next(2200), 2200, 2200)
+			r.HandlePage(call, 2210, []Item{item("a", 20)}, 20, true)
 		}, 1000},
 		"listing in pages": {func(r *Reader) {
-			r.RecordFailure(2110, ErrCompacted)
-			r.Begin(2200, 2200)
-			r.HandlePage(2210, []Item{item("a", 20)}, 20, true)
-			r.Begin(2300, 2300)
-			r.HandlePage(2310, []Item{item("b", 21)}, 21, false)
+			r.RecordFailure(Call{}, 2110, ErrCompacted)
+			call := r.Begin(r.Next(2200), 2200, 2200)
+			r.HandlePage(call, 2210, []Item{item("a", 20)}, 20, true)
+			call = r.Begin(r.Next(2300), 2300, 2300)
+			r.HandlePage(call, 2310, []Item{item("b", 21)}, 21, false)
 		}, 2200},
 		"listing begun again after a failed page": {func(r *Reader) {
-			r.RecordFailure(2110, ErrCompacted)
-			r.Begin(2200, 2200)
-			r.HandlePage(2210, []Item{item("a", 20)}, 20, true)
-			r.RecordFailure(2400, ErrUnavailable)
-			r.Begin(2600, 2600)
-			r.HandlePage(2610, []Item{item("a", 20)}, 20, false)
+			r.RecordFailure(Call{}, 2110, ErrCompacted)
+			call := r.Begin(r.Next(2200), 2200, 2200)
+			r.HandlePage(call, 2210, []Item{item("a", 20)}, 20, true)
+			r.RecordFailure(call, 2400, ErrUnavailable)
+			call = r.Begin(r.Next(2600), 2600, 2600)
+			r.HandlePage(call, 2610, []Item{item("a", 20)}, 20, false)
 		}, 2600},
 		"listing behind the mirror": {func(r *Reader) {
-			r.RecordFailure(2110, ErrCompacted)
-			r.Begin(2200, 2200)
-			r.HandlePage(2210, []Item{item("a", 1)}, 9, false)
+			r.RecordFailure(Call{}, 2110, ErrCompacted)
+			call := r.Begin(r.Next(2200), 2200, 2200)
+			r.HandlePage(call, 2210, []Item{item("a", 1)}, 9, false)
 		}, 1000},
 		"suspended during a watch": {func(r *Reader) {
-			r.Begin(2100, 2100)
-			r.HandleEvents(2200, []Item{item("b", 11)}, 11) // a minute later on the other clock
+			call := r.Begin(r.Next(2100), 2100, 2100)
+			r.HandleEvents(call, 2200, []Item{item("b", 11)}, 11) // a minute later on the other clock
 		}, 2100},
 		"peer": {func(r *Reader) {
 			r.HandlePeerProof(3000, 3010, 10, PeerProof{Age: 400, Held: 2})
--- a/core/mirror/reader.go
+++ b/core/mirror/reader.go
@@ -15,6 +15,8 @@
 	ErrCompacted = errors.New("requested revision has been compacted")
 	// ErrUnavailable means that the store gave no usable answer.
 	ErrUnavailable = errors.New("no usable answer from the store")
+	// ErrNoReply means that a call had no reply by its timeout. One may still come.
+	ErrNoReply = errors.New("no reply from the store in time")
 )
 
 const (
@@ -43,8 +45,12 @@
 	// have been suspended and have missed a failure of the store.
 	maxReadGap = watchInterval + watchWait + watchTimeoutMargin
 
-	// replyDelay is how long a reply may be on its way before it is dated back.
+	// replyDelay is how long a reply may be on its way before it is dated back, and before
+	// the next watch starts beside it.
 	replyDelay = 150 * clock.Millisecond
+	// maxCallDuration is how long a call of the store stays open after its start. Its reply
+	// counts even if the call has failed by then, so that a slow store can be read.
+	maxCallDuration = 5 * clock.Second
 
 	// followWait is how long a followed daemon may hold a request until it has a
 	// change. Followers then receive a change as soon as the followed daemon does.
@@ -81,7 +87,11 @@
 	afterRevision uint64
 	wait          clock.Millis
 	timeout       clock.Millis
+	overdue       clock.Millis
 	peer          string
+	listing       int          // the listing that a List belongs to
+	startedAt     clock.Millis // set by Begin
+	sentAt        clock.Millis // the same on the clock that counts suspension
 }
 
 // Kind returns what to read.
@@ -102,11 +112,24 @@
 // Peer returns the daemon that a Follow reads from.
 func (c Call) Peer() string { return c.peer }
 
-// Timeout returns how long after its start the call is to be cancelled.
+// Timeout returns how long after its start a call without a reply has failed.
 func (c Call) Timeout() clock.Millis { return c.timeout }
 
+// Overdue returns how long after its start a call without a reply no longer delays the next
+// one, unless it fails earlier.
+func (c Call) Overdue() clock.Millis { return c.overdue }
+
+// Limit returns how long after its start the call is to be cancelled. It is at least Timeout.
+func (c Call) Limit() clock.Millis {
+	if c.kind == Follow {
+		return c.timeout
+	}
+	return maxCallDuration
+}
+
 // Reader schedules the reads of the store and of peers, and applies the replies to
-// a Mirror. The caller makes the calls. A Reader is not safe for concurrent use.
+// a Mirror. The caller makes the calls. Calls of the store may overlap, and their replies may
+// come in any order. A Reader is not safe for concurrent use.
 type Reader struct {
 	random *rand.Rand
 	mirror *Mirror
@@ -114,9 +137,10 @@
 	listing         []Item // pages received so far
 	afterKey        string // last key of the listing
 	listingRevision uint64 // revision of its first page
+	listingNumber   int    // of listings that have been begun or given up
 	needsListing    bool
-	callStartedAt   clock.Millis
-	callWait        clock.Millis // of the call that Next has returned last
+	callStartedAt   clock.Millis // start of the latest call
+	answeredCall    clock.Millis // latest start of a call that the store has answered
 	failures        int          // consecutive failed calls of the store
 	retryAt         clock.Millis
 	readSince       clock.Millis            // from when on the store has answered without a failure or gap, or 0
@@ -131,7 +155,6 @@
 	ejectedUntil    map[string]clock.Millis // by source
 
 	// The following instants are on the clock that counts suspension.
-	callSentAt    clock.Millis
 	listingSentAt clock.Millis // when the first page of the listing was requested
 	provenAt      clock.Millis
 	proven        bool
@@ -163,38 +186,44 @@
 
 // Next returns the call to make next. The first listing always comes from the store.
 func (r *Reader) Next(now clock.Millis) Call {
-	call := r.plan(now)
-	r.callWait = call.wait
-	return call
-}
-
-func (r *Reader) plan(now clock.Millis) Call {
 	if peer, ok := r.currentSource(now); ok && !r.needsListing {
 		return Call{
 			kind: Follow, peer: peer, at: max(now, r.callStartedAt+followInterval), afterRevision: r.mirror.Revision(),
-			wait: followWait, timeout: followWait + followTimeoutMargin,
+			wait: followWait, timeout: followWait + followTimeoutMargin, overdue: maxCallDuration,
 		}
 	}
 	if r.needsListing {
-		return Call{kind: List, at: max(now, r.retryAt), afterKey: r.afterKey, timeout: listTimeout}
+		return Call{
+			kind: List, at: max(now, r.retryAt), afterKey: r.afterKey, listing: r.listingNumber,
+			timeout: listTimeout, overdue: maxCallDuration,
+		}
 	}
 	at := max(r.callStartedAt+watchInterval, r.retryAt)
 	return Call{
 		kind: Watch, at: max(now, at), afterRevision: r.mirror.Revision(),
-		wait: watchWait, timeout: watchWait + watchTimeoutMargin,
+		wait: watchWait, timeout: watchWait + watchTimeoutMargin, overdue: watchWait + replyDelay,
 	}
 }
 
-// Begin records the start of the call that Next has returned, before it is sent. SentAt is
-// the same instant on the clock that counts suspension.
-func (r *Reader) Begin(now, sentAt clock.Millis) { r.callStartedAt, r.callSentAt = now, sentAt }
+// Begin records the start of a call that Next has returned, before it is sent, and returns
+// the call for the methods that handle its reply or failure. SentAt is the same instant on
+// the clock that counts suspension.
+func (r *Reader) Begin(call Call, now, sentAt clock.Millis) Call {
+	r.callStartedAt = now
+	call.startedAt, call.sentAt = now, sentAt
+	return call
+}
 
 // HandlePage adds a page of a listing. With the last page, which is one with more
-// unset or without items, it applies the listing and returns the changes.
-func (r *Reader) HandlePage(now clock.Millis, items []Item, revision uint64, more bool) []Item {
-	r.recordStoreAnswer(now)
+// unset or without items, it applies the listing and returns the changes. A page that the
+// listing in progress does not wait for is ignored.
+func (r *Reader) HandlePage(call Call, now clock.Millis, items []Item, revision uint64, more bool) []Item {
+	r.recordStoreAnswer(call, now)
+	if !r.needsListing || call.listing != r.listingNumber || call.afterKey != r.afterKey {
+		return nil
+	}
 	if r.afterKey == "" {
-		r.listing, r.listingRevision, r.listingSentAt = nil, revision, r.callSentAt
+		r.listing, r.listingRevision, r.listingSentAt = nil, revision, call.sentAt
 	}
 	r.listing = append(r.listing, items...)
 	if more && len(items) > 0 {
@@ -206,17 +235,24 @@
 	if current {
 		r.prove(r.listingSentAt)
 	}
-	r.needsListing, r.afterKey, r.listing = false, "", nil
+	r.resetListing()
+	r.needsListing = false
 	return changes
 }
 
+// resetListing ends the listing in progress. Later pages of it are ignored.
+func (r *Reader) resetListing() {
+	r.listingNumber++
+	r.afterKey, r.listing = "", nil
+}
+
 // HandleEvents applies the reply of a watch and returns the changes.
-func (r *Reader) HandleEvents(now clock.Millis, events []Item, revision uint64) []Item {
-	r.recordStoreAnswer(now)
+func (r *Reader) HandleEvents(call Call, now clock.Millis, events []Item, revision uint64) []Item {
+	r.recordStoreAnswer(call, now)
 	current := revision >= r.mirror.Revision()
 	changes := r.mirror.Apply(now, events, revision)
 	if current {
-		r.prove(r.callSentAt)
+		r.prove(call.sentAt)
 	}
 	return changes
 }
@@ -235,30 +271,40 @@
 }
 
 // recordStoreAnswer ends the backoff after failures.
-func (r *Reader) recordStoreAnswer(now clock.Millis) {
+func (r *Reader) recordStoreAnswer(call Call, now clock.Millis) {
+	r.answeredCall = max(r.answeredCall, call.startedAt)
 	if r.failures > 0 || r.readSince == 0 || now > r.storeAnsweredAt+maxReadGap {
 		r.readSince = now
 	}
 	r.failures, r.retryAt = 0, 0
-	sent := sentBy(now, r.callStartedAt, r.callWait)
+	sent := sentBy(now, call.startedAt, call.wait)
 	r.currentAsOf, r.storeAnsweredAt = max(r.currentAsOf, sent), max(r.storeAnsweredAt, sent)
 }
 
-// RecordFailure records the error of a List or Watch. ErrCompacted causes a new
-// listing; every other error is a failure of the store, after which calls are
-// delayed exponentially. It reports whether this is the first failure since the
-// store last answered.
-func (r *Reader) RecordFailure(now clock.Millis, err error) bool {
+// RecordFailure records the error of a List or Watch, or ErrNoReply at its timeout.
+// ErrCompacted causes a new listing; every other error is a failure of the store, after
+// which calls are delayed exponentially, unless the store has answered a later call. RecordFailure reports whether this is the first failure since the store
+// last answered.
+func (r *Reader) RecordFailure(call Call, now clock.Millis, err error) bool {
 	if errors.Is(err, ErrCompacted) {
-		r.needsListing, r.afterKey = true, ""
+		// If the mirror has changed since then, a watch after its revision may succeed.
+		if !r.needsListing && (call.kind == List || call.afterRevision >= r.mirror.Revision()) {
+			r.resetListing()
+			r.needsListing = true
+		}
+		return false
+	}
+	if call.startedAt < r.answeredCall {
 		return false
 	}
+	if !errors.Is(err, ErrNoReply) {
+		r.resetListing()
+	}
 	if r.peerAsOf == 0 || now > r.peerAsOf+maxSourceAge {
 		// Otherwise the store answers peers, so that keys do not lapse.
 		r.mirror.RecordStoreFailure(now)
 	}
 	r.failures++
-	r.afterKey = ""
 	backoff := min(maxRetryDelay, minRetryDelay*clock.Millis(uint(1)<<min(r.failures-1, maxRetryDoublings)))
 	r.retryAt = now + backoff*clock.Millis(1-retryJitter+2*retryJitter*r.random.Float64())
 	return r.failures == 1
--- a/core/mirror/round_test.go
+++ b/core/mirror/round_test.go
@@ -33,7 +33,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := newTestReader(newTestMirror())
 			if c.held {
-				r.RecordFailure(10, ErrUnavailable)
+				r.RecordFailure(Call{}, 10, ErrUnavailable)
 				r.mirror.Apply(11, []Item{NewRemoval("a", 5)}, 5)
 			}
 			round, due := r.StartPeerRound(clock.Minute, 0)
--- a/core/mirror/simulation_test.go
+++ b/core/mirror/simulation_test.go
@@ -17,7 +17,7 @@
 	source      int // index of the daemon that it follows, or -1
 	offset      clock.Millis
 	frozenUntil clock.Millis
-	call        *simulatedCall
+	calls       []*simulatedCall
 	poll        *simulatedCall
 	changed     bool // a reply was applied since the last check
 	replies     int  // applied so far
@@ -34,6 +34,7 @@
 	arrivedAt clock.Millis // on the clock of the peer
 	proofAge  clock.Millis // of the sender
 	lost      bool
+	failed    bool
 	answered  bool
 	returnsAt clock.Millis
 	apply     func(now clock.Millis)
@@ -114,25 +115,28 @@
 			continue
 		}
 		local := s.now + d.offset
-		if d.call == nil {
-			if call := d.reader.Next(local); call.At() <= local {
-				d.reader.Begin(local, local)
-				peer := -1
-				if call.Kind() == Follow {
-					peer = d.source
-				}
-				d.call = s.start(d, call, peer)
+		if next := d.reader.Next(local); !d.waits(s.now) && next.At() <= local {
+			call := d.reader.Begin(next, local, local)
+			peer := -1
+			if call.Kind() == Follow {
+				peer = d.source
 			}
+			d.calls = append(d.calls, s.start(d, call, peer))
 		}
 		if d.poll == nil && d.reader.StartPeerRequest(local, local) {
 			d.poll = s.start(d, Call{kind: Follow, afterRevision: d.mirror.Revision(), timeout: 1000}, s.random.IntN(len(s.daemons)))
 		}
-		d.call = s.progress(d, d.call, false)
+		d.calls = slices.DeleteFunc(d.calls, func(c *simulatedCall) bool { return s.progress(d, c, false) == nil })
 		d.poll = s.progress(d, d.poll, true)
 		s.check(i, d)
 	}
 }
 
+// waits reports whether a call in progress delays the next one.
+func (d *simulatedDaemon) waits(now clock.Millis) bool {
+	return slices.ContainsFunc(d.calls, func(c *simulatedCall) bool { return !c.failed && now < c.sentAt+c.call.Overdue() })
+}
+
 func (s *simulation) start(d *simulatedDaemon, call Call, peer int) *simulatedCall {
 	return &simulatedCall{call: call, peer: peer, sentAt: s.now, arrivesAt: s.now + s.delay(), lost: s.random.Float64() < s.faults/2,
 		proofAge: d.reader.ProofAge(s.now + d.offset)}
@@ -150,15 +154,14 @@
 		d.changed = true
 		d.replies++
 		return nil
-	case s.now >= c.sentAt+c.call.Timeout():
-		switch {
-		case poll:
-		case c.peer >= 0:
+	case poll && s.now >= c.sentAt+c.call.Timeout(), s.now >= c.sentAt+c.call.Limit():
+		if !poll && c.peer >= 0 {
 			d.reader.RecordSourceFailure(local, fmt.Sprint(c.peer))
-		default:
-			d.reader.RecordFailure(local, ErrUnavailable)
 		}
 		return nil
+	case c.peer < 0 && !c.failed && s.now >= c.sentAt+c.call.Timeout():
+		c.failed = true
+		d.reader.RecordFailure(c.call, local, ErrNoReply)
 	case !c.answered && s.now >= c.arrivesAt:
 		if c.peer >= 0 {
 			s.answerFromPeer(d, c, poll)
@@ -186,11 +189,11 @@
 		slices.SortFunc(page, func(a, b Item) int { return cmp.Compare(a.Key(), b.Key()) })
 		more := len(page) > 2
 		page = page[:min(2, len(page))]
-		c.answer(s.now, s.delay(), func(now clock.Millis) { d.reader.HandlePage(now, page, revision, more) })
+		c.answer(s.now, s.delay(), func(now clock.Millis) { d.reader.HandlePage(c.call, now, page, revision, more) })
 	case revision > c.call.AfterRevision() && s.random.Float64() < s.faults/10:
-		c.answer(s.now, s.delay(), func(now clock.Millis) { d.reader.RecordFailure(now, ErrCompacted) })
+		c.answer(s.now, s.delay(), func(now clock.Millis) { d.reader.RecordFailure(c.call, now, ErrCompacted) })
 	case revision > c.call.AfterRevision() || s.now >= c.arrivesAt+c.call.Wait():
-		c.answer(s.now, s.delay(), func(now clock.Millis) { d.reader.HandleEvents(now, changes, revision) })
+		c.answer(s.now, s.delay(), func(now clock.Millis) { d.reader.HandleEvents(c.call, now, changes, revision) })
 	}
 }
 
--- a/entry/gateway/first_copy_test.go
+++ b/entry/gateway/first_copy_test.go
@@ -74,7 +74,7 @@
 // are outdated or do not reply are asked before one that is current.
 func TestOutdatedPeersDoNotDelayChanges(t *testing.T) {
 	s := newTestGateway(t).mirrorSyncer
-	s.applyChanges(s.reader.HandlePage(s.now(), []mirror.Item{mirror.NewItem("servers/left", nil, 3)}, 3, false))
+	s.applyChanges(s.reader.HandlePage(mirror.Call{}, s.now(), []mirror.Item{mirror.NewItem("servers/left", nil, 3)}, 3, false))
 	silent, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer silent.Close()
--- a/entry/gateway/mirror_peer_test.go
+++ b/entry/gateway/mirror_peer_test.go
@@ -27,7 +27,7 @@
 		items = append(items, mirror.NewItem(fmt.Sprintf("replicas/i-%08x", i*7919), []byte(value), uint64(i+1)))
 	}
 	g.mirrorSyncer.mu.Lock()
-	g.mirrorSyncer.applyChanges(g.mirrorSyncer.reader.HandlePage(g.mirrorSyncer.now(), items, 300, false))
+	g.mirrorSyncer.applyChanges(g.mirrorSyncer.reader.HandlePage(mirror.Call{}, g.mirrorSyncer.now(), items, 300, false))
 	g.mirrorSyncer.mu.Unlock()
 	server := httptest.NewServer(g.peerHandler())
 	defer server.Close()
--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -36,6 +36,7 @@
 	random  *rand.Rand
 
 	sources atomic.Pointer[[]string] // peers that may be followed
+	calls   sync.WaitGroup           // calls of the store that are open
 
 	mu           sync.Mutex
 	mirror       mirror.Mirror
@@ -70,6 +71,7 @@
 func (s *mirrorSyncer) run(ctx context.Context) {
 	var wait sync.WaitGroup
 	defer wait.Wait()
+	defer s.calls.Wait()
 	wait.Go(func() { s.pollPeers(ctx) })
 	for ctx.Err() == nil {
 		s.mu.Lock()
@@ -102,18 +104,47 @@
 	}
 }
 
-// readStore makes a call that the reader has planned, to the store or to a peer.
-func (s *mirrorSyncer) readStore(parent context.Context, call mirror.Call) {
-	ctx, cancel := context.WithTimeout(parent, call.Timeout().Duration())
-	defer cancel()
+// storeCall is a call of the store that is open.
+type storeCall struct {
+	mirror.Call
+
+	began clock.Millis
+	done  chan struct{} // closed when the call has ended or failed
+
+	// The lock of the syncer guards the following.
+	failed bool // it had no reply by its timeout
+	ended  bool
+}
+
+// readStore makes a call that the reader has planned, to the store or to a peer. It returns
+// when the next one may start. A call of the store without a reply stays open.
+func (s *mirrorSyncer) readStore(ctx context.Context, planned mirror.Call) {
 	s.mu.Lock()
 	began := s.now()
-	s.reader.Begin(began, s.suspendingNow())
+	call := &storeCall{Call: s.reader.Begin(planned, began, s.suspendingNow()), began: began, done: make(chan struct{})}
 	s.mu.Unlock()
 	if call.Kind() == mirror.Follow {
-		s.followPeer(ctx, call)
+		ctx, cancel := context.WithTimeout(ctx, call.Timeout().Duration())
+		defer cancel()
+		s.followPeer(ctx, call.Call)
 		return
 	}
+	s.calls.Go(func() { s.callStore(ctx, call) })
+	overdue := time.NewTimer(call.Overdue().Duration())
+	defer overdue.Stop()
+	select {
+	case <-call.done:
+	case <-overdue.C:
+	}
+}
+
+// callStore makes a call of the store and handles its reply, even if it comes after the
+// timeout.
+func (s *mirrorSyncer) callStore(parent context.Context, call *storeCall) {
+	ctx, cancel := context.WithTimeout(parent, call.Limit().Duration())
+	defer cancel()
+	timeout := time.AfterFunc(call.Timeout().Duration(), func() { s.recordTimeout(call) })
+	defer timeout.Stop()
 	var page Page
 	var err error
 	if call.Kind() == mirror.List {
@@ -123,18 +154,52 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	call.ended = true
+	if !call.failed {
+		defer close(call.done)
+	}
 	now := s.now()
-	s.recordCall(call.Kind().String(), err)
 	if err != nil {
-		switch {
-		case parent.Err() != nil:
-		case s.reader.RecordFailure(now, err):
-			s.log.Info("store lost", "error", err.Error(), "took", now-began)
-		default:
-			s.log.V(1).Info("call of the store failed", "kind", call.Kind().String(), "error", err.Error(), "took", now-began)
+		if !call.failed {
+			s.recordFailure(call, now, err, parent.Err() != nil)
 		}
 		return
 	}
+	if call.failed {
+		s.callCounts[call.Kind().String()+".late"]++
+	} else {
+		s.recordCall(call.Kind().String(), nil)
+	}
+	s.handlePage(call, now, page)
+}
+
+// recordTimeout records that a call has had no reply by its timeout.
+func (s *mirrorSyncer) recordTimeout(call *storeCall) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if call.ended {
+		return
+	}
+	call.failed = true
+	s.recordFailure(call, s.now(), errors.Wrapf(mirror.ErrNoReply, "%s", call.Kind().String()), false)
+	close(call.done)
+}
+
+// recordFailure records the error of a call, unless the daemon stops. The caller holds the
+// lock.
+func (s *mirrorSyncer) recordFailure(call *storeCall, now clock.Millis, err error, stopping bool) {
+	s.recordCall(call.Kind().String(), err)
+	switch {
+	case stopping:
+	case s.reader.RecordFailure(call.Call, now, err):
+		s.log.Info("store lost", "error", err.Error(), "took", now-call.began)
+	default:
+		s.log.V(1).Info("call of the store failed", "kind", call.Kind().String(), "error", err.Error(), "took", now-call.began)
+	}
+}
+
+// handlePage applies the reply to a call of the store. The caller holds the lock.
+func (s *mirrorSyncer) handlePage(call *storeCall, now clock.Millis, page Page) {
 	if !s.reader.StoreReachable() {
 		s.log.Info("store reached", "revision", page.Revision)
 	}
@@ -142,9 +207,9 @@
 	mirrored := s.mirror.Revision()
 	var changes []mirror.Item
 	if call.Kind() == mirror.List {
-		changes = s.reader.HandlePage(now, page.Items, page.Revision, page.More)
+		changes = s.reader.HandlePage(call.Call, now, page.Items, page.Revision, page.More)
 	} else {
-		changes = s.reader.HandleEvents(now, page.Items, page.Revision)
+		changes = s.reader.HandleEvents(call.Call, now, page.Items, page.Revision)
 	}
 	s.recordOutdated(call.Kind().String(), mirrored, page.Revision, changes)
 	if call.Kind() == mirror.Watch && len(page.Items) == 0 && page.Revision > call.AfterRevision() {
@@ -152,7 +217,7 @@
 		s.callCounts["watch.skipped"]++
 		s.log.V(1).Info("watch without changes has a later revision", "after", call.AfterRevision(), "revision", page.Revision)
 	}
-	s.logChanges(call.Kind().String(), "", now-began, age, changes)
+	s.logChanges(call.Kind().String(), "", now-call.began, age, changes)
 	s.applyChanges(changes)
 	s.applyExpired(now)
 }
--- a/entry/gateway/mirror_syncer_test.go
+++ b/entry/gateway/mirror_syncer_test.go
@@ -74,7 +74,7 @@
 func TestFollowerIsNotifiedOfChangeImmediately(t *testing.T) {
 	g := newTestGateway(t)
 	g.mirrorSyncer.mu.Lock()
-	g.mirrorSyncer.applyChanges(g.mirrorSyncer.reader.HandlePage(g.mirrorSyncer.now(), []mirror.Item{mirror.NewItem("a", nil, 3)}, 3, false))
+	g.mirrorSyncer.applyChanges(g.mirrorSyncer.reader.HandlePage(mirror.Call{}, g.mirrorSyncer.now(), []mirror.Item{mirror.NewItem("a", nil, 3)}, 3, false))
 	g.mirrorSyncer.mu.Unlock()
 	reply := make(chan mirrorReply, 1)
 	go func() {
@@ -82,7 +82,7 @@
 	}()
 	time.Sleep(50 * time.Millisecond)
 	g.mirrorSyncer.mu.Lock()
-	g.mirrorSyncer.applyChanges(g.mirrorSyncer.reader.HandleEvents(g.mirrorSyncer.now(), []mirror.Item{mirror.NewItem("b", nil, 4)}, 4))
+	g.mirrorSyncer.applyChanges(g.mirrorSyncer.reader.HandleEvents(mirror.Call{}, g.mirrorSyncer.now(), []mirror.Item{mirror.NewItem("b", nil, 4)}, 4))
 	g.mirrorSyncer.mu.Unlock()
 	select {
 	case r := <-reply:
@@ -115,7 +115,7 @@
 // removal arrives after the daemon has learnt of the removal from a peer.
 func TestDelayedWatchDoesNotListReplicaThatLeft(t *testing.T) {
 	s := newTestGateway(t).mirrorSyncer
-	s.applyChanges(s.reader.HandlePage(s.now(), []mirror.Item{
+	s.applyChanges(s.reader.HandlePage(mirror.Call{}, s.now(), []mirror.Item{
 		mirror.NewItem("servers/left", nil, 3), mirror.NewItem("servers/stays", nil, 4),
 	}, 4, false))
 	store := delayedWatch{
@@ -170,8 +170,8 @@
 			manual := &clock.Manual{}
 			s := newTestGateway(t).mirrorSyncer
 			s.gateway.dependencies.Interpreter, s.gateway.dependencies.SuspendingClock = interpreter, manual.Clock()
-			s.reader.Begin(s.now(), s.suspendingNow())
-			s.applyChanges(s.reader.HandlePage(s.now(), []mirror.Item{mirror.NewItem("a", nil, 3)}, 3, false))
+			call := s.reader.Begin(s.reader.Next(s.now()), s.now(), s.suspendingNow())
+			s.applyChanges(s.reader.HandlePage(call, s.now(), []mirror.Item{mirror.NewItem("a", nil, 3)}, 3, false))
 			manual.Advance(1000)
 			request := mirrorRequest{Sender: "b", AfterRevision: 3, WaitMs: 300}
 			if s.gateway.engine.HasTenants() {
@@ -186,9 +186,9 @@
 			time.Sleep(100 * time.Millisecond) // until the request waits
 			manual.Advance(400)
 			s.mu.Lock()
-			s.reader.Begin(s.now(), s.suspendingNow())
+			call = s.reader.Begin(s.reader.Next(s.now()), s.now(), s.suspendingNow())
 			manual.Advance(50)
-			s.applyChanges(s.reader.HandleEvents(s.now(), nil, 3))
+			s.applyChanges(s.reader.HandleEvents(call, s.now(), nil, 3))
 			s.mu.Unlock()
 			got := <-reply
 			if !s.gateway.engine.HasTenants() {
@@ -200,3 +200,47 @@
 		})
 	}
 }
+
+// slowStore answers each call after a delay, unless it is cancelled.
+type slowStore struct {
+	Store
+
+	delay time.Duration
+}
+
+func (s slowStore) reply(ctx context.Context, page Page) (Page, error) {
+	if !sleep(ctx, clock.FromDuration(s.delay)) {
+		return Page{}, ctx.Err()
+	}
+	return page, nil
+}
+
+func (s slowStore) List(ctx context.Context, _, _ string) (Page, error) {
+	return s.reply(ctx, Page{Items: []mirror.Item{mirror.NewItem("a", nil, 3)}, Revision: 3})
+}
+
+func (s slowStore) Watch(ctx context.Context, _ string, after uint64, _ clock.Millis) (Page, error) {
+	return s.reply(ctx, Page{Items: []mirror.Item{mirror.NewItem("a", nil, after+1)}, Revision: after + 1})
+}
+
+func (slowStore) Put(context.Context, string, []byte) error { return nil }
+
+// Guards against a daemon that never reads a store whose replies come after the timeouts of its
+// calls.
+func TestRepliesAfterTimeoutAreApplied(t *testing.T) {
+	s := newTestGateway(t).mirrorSyncer
+	s.store = slowStore{delay: 2200 * time.Millisecond}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { s.run(ctx) })
+	assert.Eventually(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.mirror.Revision() > 3
+	}, 10*time.Second, 20*time.Millisecond)
+	cancel()
+	requireEndsSoon(t, "a call stays open after the stop", running.Wait)
+	_, _, calls := s.storeMetrics()
+	assert.Positive(t, calls["list.late"])
+	assert.Positive(t, calls["watch.late"])
+}
