--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -81,8 +81,12 @@
 		}
 		call := s.reader.Next(now)
 		s.mu.Unlock()
-		if !sleep(ctx, call.At()-now) {
-			return
+		if delay := call.At() - now; delay > 0 {
+			// A late reply or a new source may change the call meanwhile.
+			if !sleep(ctx, delay) {
+				return
+			}
+			continue
 		}
 		s.readStore(ctx, call)
 		s.register(ctx)
