mirror: a mirror is current as of its last complete listing, not of the latest page

Callers: requests that an outdated configuration or list allows, while a daemon lists a store again that has dropped its history, if pages are slow.

Cause: each page dated the mirror at its arrival, although the mirror changes with the last page only. Meanwhile the daemon asked no peers, and peers took it for current. This is the class of fault of: a mirror that looks newer than it is.

Change: a complete listing dates the mirror at the reply with its first page. What the store or the followed daemon has confirmed (storeAsOf) is kept apart from the arrival of answers; from it the silence after which peers are asked is counted, and whether a daemon is settled.

Evidence: TestMirrorIsCurrentAfterLastPage failed before (age 0 after the first page). Seen in the code, not in a run of daemons.

--- a/core/mirror/late_test.go
+++ b/core/mirror/late_test.go
@@ -202,3 +202,14 @@
 		})
 	}
 }
+
+// Guards against a mirror that passes for current while the store is listed in pages, and
+// whose daemon asks no peer meanwhile.
+func TestMirrorIsCurrentAfterLastPage(t *testing.T) {
+	r := newTestReader(newTestMirror())
+	r.HandlePage(r.Begin(r.Next(1000), 1000, 1000), 1010, []Item{item("a", 4)}, 4, true)
+	assert.EqualValues(t, 1010, r.Age(1010))
+	assert.True(t, r.StartPeerRequest(1010+maxStoreSilence, 0))
+	r.HandlePage(r.Begin(r.Next(2000), 2000, 2000), 2010, []Item{item("b", 6)}, 6, false)
+	assert.EqualValues(t, 1000, r.Age(2010), "as of the first page")
+}
--- a/core/mirror/reader.go
+++ b/core/mirror/reader.go
@@ -137,7 +137,8 @@
 	listing         []Item // pages received so far
 	afterKey        string // last key of the listing
 	listingRevision uint64 // revision of its first page
-	listingNumber   int    // of listings that have been begun or given up
+	listingAsOf     clock.Millis
+	listingNumber   int // of listings that have been begun or given up
 	needsListing    bool
 	callStartedAt   clock.Millis // start of the latest call
 	answeredCall    clock.Millis // latest start of a call that the store has answered
@@ -145,8 +146,8 @@
 	retryAt         clock.Millis
 	readSince       clock.Millis            // from when on the store has answered without a failure or gap, or 0
 	settledAt       clock.Millis            // latest instant at which the followed daemon was settled, or 0
-	currentAsOf     clock.Millis            // instant for which the mirror is known to be current
-	peerAsOf        clock.Millis            // instant for which a reply of a peer was current, or 0
+	storeAsOf       clock.Millis            // instant for which the replies of the store or the source were current, or 0
+	peerAsOf        clock.Millis            // the same of peers, including the source
 	storeAnsweredAt clock.Millis            // latest answer of the store to this daemon or its source
 	peerRequestedAt clock.Millis            // latest request with StartPeerRequest, or 0
 	peerRounds      int                     // in progress
@@ -218,12 +219,12 @@
 // unset or without items, it applies the listing and returns the changes. A page that the
 // listing in progress does not wait for is ignored.
 func (r *Reader) HandlePage(call Call, now clock.Millis, items []Item, revision uint64, more bool) []Item {
-	r.recordStoreAnswer(call, now)
+	sent := r.recordStoreAnswer(call, now)
 	if !r.needsListing || call.listing != r.listingNumber || call.afterKey != r.afterKey {
 		return nil
 	}
 	if r.afterKey == "" {
-		r.listing, r.listingRevision, r.listingSentAt = nil, revision, call.sentAt
+		r.listing, r.listingRevision, r.listingSentAt, r.listingAsOf = nil, revision, call.sentAt, sent
 	}
 	r.listing = append(r.listing, items...)
 	if more && len(items) > 0 {
@@ -235,6 +236,7 @@
 	if current {
 		r.prove(r.listingSentAt)
 	}
+	r.storeAsOf = max(r.storeAsOf, r.listingAsOf)
 	r.resetListing()
 	r.needsListing = false
 	return changes
@@ -248,7 +250,7 @@
 
 // HandleEvents applies the reply of a watch and returns the changes.
 func (r *Reader) HandleEvents(call Call, now clock.Millis, events []Item, revision uint64) []Item {
-	r.recordStoreAnswer(call, now)
+	r.storeAsOf = max(r.storeAsOf, r.recordStoreAnswer(call, now))
 	current := revision >= r.mirror.Revision()
 	changes := r.mirror.Apply(now, events, revision)
 	if current {
@@ -270,15 +272,17 @@
 	return stated + max(0, took-wait-replyDelay)
 }
 
-// recordStoreAnswer ends the backoff after failures.
-func (r *Reader) recordStoreAnswer(call Call, now clock.Millis) {
+// recordStoreAnswer ends the backoff after failures. It returns the instant that the reply is
+// dated at.
+func (r *Reader) recordStoreAnswer(call Call, now clock.Millis) clock.Millis {
 	r.answeredCall = max(r.answeredCall, call.startedAt)
 	if r.failures > 0 || r.readSince == 0 || now > r.storeAnsweredAt+maxReadGap {
 		r.readSince = now
 	}
 	r.failures, r.retryAt = 0, 0
 	sent := sentBy(now, call.startedAt, call.wait)
-	r.currentAsOf, r.storeAnsweredAt = max(r.currentAsOf, sent), max(r.storeAnsweredAt, sent)
+	r.storeAnsweredAt = max(r.storeAnsweredAt, sent)
+	return sent
 }
 
 // RecordFailure records the error of a List or Watch, or ErrNoReply at its timeout.
@@ -311,11 +315,11 @@
 }
 
 // StartPeerRequest reports whether to read from the mirror of a peer now, because the
-// store has failed or has been silent, or the proof is old. If so, it records the request.
+// store has failed, has been silent or is being listed, or the proof is old. If so, it records the request.
 // SuspendingNow is the same instant on the clock that counts suspension.
 func (r *Reader) StartPeerRequest(now, suspendingNow clock.Millis) bool {
-	silence := now - max(r.storeAnsweredAt, r.startedAt)
-	if r.storeAnsweredAt == 0 {
+	silence := now - max(r.storeAsOf, r.startedAt)
+	if r.storeAsOf == 0 {
 		// A daemon that starts reads from a peer at once, as the store may be unavailable.
 		silence += maxStoreSilence
 	}
@@ -336,7 +340,6 @@
 		return nil
 	}
 	r.peerAsOf = max(r.peerAsOf, now-age)
-	r.currentAsOf = max(r.currentAsOf, r.peerAsOf)
 	if complete {
 		return r.mirror.Replace(now, items, revision)
 	}
@@ -352,6 +355,7 @@
 		r.RecordSourceFailure(now, peer)
 	} else {
 		r.storeAnsweredAt = max(r.storeAnsweredAt, now-age)
+		r.storeAsOf = max(r.storeAsOf, now-age)
 	}
 	return r.HandlePeerReply(now, items, complete, revision, age)
 }
@@ -374,7 +378,7 @@
 	if !r.mirror.Complete() || r.mirror.Held() > 0 || r.failures > 0 {
 		return false
 	}
-	reads := r.readSince > 0 && now >= r.readSince+lapseGracePeriod && now <= r.storeAnsweredAt+maxSourceAge
+	reads := r.readSince > 0 && now >= r.readSince+lapseGracePeriod && now <= r.storeAsOf+maxSourceAge
 	return reads || (r.settledAt > 0 && now <= r.settledAt+maxSourceAge)
 }
 
@@ -394,7 +398,7 @@
 // Age returns the time since the mirror was last known to be current, or since the
 // start of the daemon.
 func (r *Reader) Age(now clock.Millis) clock.Millis {
-	return now - max(r.currentAsOf, r.startedAt)
+	return now - max(r.storeAsOf, r.peerAsOf, r.startedAt)
 }
 
 // StoreReachable reports whether the store has answered this daemon or its source,
