replica: the grace period of a draining replica counts from when its entry should have been known

Callers: requests to a replica more than 3 s after its leaving was confirmed, if it is the only one and the daemon learns of it late.

Cause: a draining replica is still asked for 1 s if there is no other one, from when the daemon learns of it.

Change: the grace period counts from at most 1.5 s after the instant up to which the list was known before the change. The gateway records that instant after it has applied the changes of a reply, not before.

Evidence: TestDrainGraceOfLateEntryIsShorter; its cases "late" and "very late" ask for what the old code didn't do. Not seen in a run of daemons.

--- a/core/replica/pick.go
+++ b/core/replica/pick.go
@@ -29,6 +29,9 @@
 	// drainGrace is how long a draining replica is still picked if there is no
 	// other one. It is well below the time for which such a replica serves on.
 	drainGrace = clock.Second
+	// maxListingDelay is the time from a change to its listing beyond which drainGrace
+	// counts from an earlier instant than that of the listing.
+	maxListingDelay = 1500 * clock.Millisecond
 )
 
 // Criteria describes the request for which Pick chooses a replica. Its methods
--- a/core/replica/pool.go
+++ b/core/replica/pool.go
@@ -25,6 +25,7 @@
 	outOfService []string              // data centres
 	daemonCount  int                   // at least 1
 	budget       BudgetPolicy
+	viewedAt     clock.Millis // time up to which all changes of the list are known, or 0
 }
 
 // BudgetPolicy is the fleet-wide budget of repeated requests (retries and hedges)
@@ -156,7 +157,7 @@
 	}
 	if e.Draining() && !r.entry.Draining() {
 		if !r.leaving {
-			r.drainingSince = now
+			r.drainingSince = s.listedBy(now)
 		}
 		change = changeDraining
 	}
@@ -176,6 +177,19 @@
 	return change
 }
 
+// RecordView records that all changes of the list up to an instant are known. Those that
+// Upsert gets afterwards were made later.
+func (s *Set) RecordView(at clock.Millis) { s.viewedAt = max(s.viewedAt, at) }
+
+// listedBy returns the instant by which a change that is known from now on would have been
+// listed without an undue delay.
+func (s *Set) listedBy(now clock.Millis) clock.Millis {
+	if s.viewedAt == 0 {
+		return now
+	}
+	return min(now, s.viewedAt+maxListingDelay)
+}
+
 // assignAddress determines which of the replicas that are listed with an address has it,
 // and marks the others as displaced. Of two, the one that started later has it, or the
 // one whose entry came later if neither did. A replica at whose address another one
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -126,6 +126,33 @@
 	assert.ErrorIs(t, err, ErrNoneUsable)
 }
 
+// Guards against requests to a draining replica that come longer after its entry has changed
+// than such a replica serves on, because the daemon learned of the change late.
+func TestDrainGraceOfLateEntryIsShorter(t *testing.T) {
+	const knownAt = 10_000
+	for name, c := range map[string]struct{ viewedAt, until clock.Millis }{
+		"in time":      {knownAt - 1400, knownAt + drainGrace},
+		"late":         {knownAt - 2000, knownAt - 2000 + maxListingDelay + drainGrace},
+		"very late":    {1000, knownAt},
+		"first listed": {0, knownAt + drainGrace},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestSet()
+			put(s, 0, entry("one", "a"))
+			s.RecordView(c.viewedAt)
+			leaving := entry("one", "a")
+			leaving.Draining = true
+			put(s, knownAt, leaving)
+			s.RecordView(knownAt)
+			if c.until > knownAt {
+				assert.Equal(t, "one", pickID(t, s, c.until-1))
+			}
+			_, err := s.Pool("s").Pick(c.until, NewCriteria(expectedLatency, nil))
+			assert.ErrorIs(t, err, ErrNoneUsable)
+		})
+	}
+}
+
 // Guards against evidence about an earlier run of a replica: after a restart under
 // the same id, such as after failed connections, it must be usable at once.
 func TestRestartDiscardsEarlierEvidence(t *testing.T) {
--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -338,8 +338,6 @@
 // proof, which holds only with them. It wakes the followers that wait for changes. The
 // caller holds the lock.
 func (s *mirrorSyncer) applyChanges(changes []mirror.Item) {
-	now := s.now()
-	s.gateway.engine.RecordStoreView(now - s.reader.Age(now))
 	var updates []routing.StoreUpdate
 	var seeds []string
 	registry := s.gateway.config.RegistryPrefix
@@ -362,6 +360,8 @@
 		}
 		s.gateway.engine.ApplyUpdates(updates)
 	}
+	now := s.now()
+	s.gateway.engine.RecordStoreView(now - s.reader.Age(now))
 	advanced := false
 	if provenAt, proven := s.reader.ProvenAt(); proven {
 		advanced = s.gateway.engine.RecordProof(provenAt)
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -289,11 +289,13 @@
 	return r.Entry().DataCentre() != e.deps.DataCentre
 }
 
-// RecordStoreView records that all changes of the store up to a time are known.
+// RecordStoreView records that all changes of the store up to a time are known. Those of
+// the same reply are applied before, as they may have been made earlier.
 func (e *Engine) RecordStoreView(at clock.Millis) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.storeViewTime = max(e.storeViewTime, at)
+	e.replicas.RecordView(at)
 }
 
 // Running returns the number of requests in progress.
