--- a/core/mirror/reader.go
+++ b/core/mirror/reader.go
@@ -46,7 +46,7 @@
 	maxReadGap = watchInterval + watchWait + watchTimeoutMargin
 
 	// replyDelay is how long a reply may be on its way before it is dated back, and before
-	// the next watch starts beside it.
+	// the next watch starts although the reply is missing.
 	replyDelay = 150 * clock.Millisecond
 	// maxCallDuration is how long a call of the store stays open after its start. Its reply
 	// counts even if the call has failed by then, so that a slow store can be read.
@@ -89,7 +89,7 @@
 	timeout       clock.Millis
 	overdue       clock.Millis
 	peer          string
-	listing       int          // the listing that a List belongs to
+	listing       int          // Reader.listingNumber when a List was planned
 	startedAt     clock.Millis // set by Begin
 	sentAt        clock.Millis // the same on the clock that counts suspension
 }
@@ -134,16 +134,16 @@
 	random *rand.Rand
 	mirror *Mirror
 
-	listing         []Item // pages received so far
-	afterKey        string // last key of the listing
-	listingRevision uint64 // revision of its first page
-	listingAsOf     clock.Millis
-	listingNumber   int // of listings that have been begun or given up
+	listing         []Item       // pages received so far
+	afterKey        string       // last key of the listing
+	listingRevision uint64       // revision of its first page
+	listingAsOf     clock.Millis // instant that its first page is dated at
+	listingNumber   int          // tells the pages of listings apart
 	needsListing    bool
-	callStartedAt   clock.Millis // start of the latest call
-	answeredCall    clock.Millis // latest start of a call that the store has answered
-	failures        int          // consecutive failed calls of the store
-	retryAt         clock.Millis
+	callStartedAt   clock.Millis            // start of the latest call
+	answeredCall    clock.Millis            // latest start of a call that the store has answered
+	failures        int                     // consecutive failed calls of the store
+	retryAt         clock.Millis            // earliest instant of the next call after a failure
 	readSince       clock.Millis            // from when on the store has answered without a failure or gap, or 0
 	settledAt       clock.Millis            // latest instant at which the followed daemon was settled, or 0
 	storeAsOf       clock.Millis            // instant for which the replies of the store or the source were current, or 0
@@ -287,8 +287,8 @@
 
 // RecordFailure records the error of a List or Watch, or ErrNoReply at its timeout.
 // ErrCompacted causes a new listing; every other error is a failure of the store, after
-// which calls are delayed exponentially, unless the store has answered a later call. RecordFailure reports whether this is the first failure since the store
-// last answered.
+// which calls are delayed exponentially, unless the store has answered a later call. It
+// reports whether this is the first failure since the store last answered.
 func (r *Reader) RecordFailure(call Call, now clock.Millis, err error) bool {
 	if errors.Is(err, ErrCompacted) {
 		// If the mirror has changed since then, a watch after its revision may succeed.
@@ -315,8 +315,9 @@
 }
 
 // StartPeerRequest reports whether to read from the mirror of a peer now, because the
-// store has failed, has been silent or is being listed, or the proof is old. If so, it records the request.
-// SuspendingNow is the same instant on the clock that counts suspension.
+// store has failed, has been silent or is being listed, or the proof is old. If so, it
+// records the request. SuspendingNow is the same instant on the clock that counts
+// suspension.
 func (r *Reader) StartPeerRequest(now, suspendingNow clock.Millis) bool {
 	silence := now - max(r.storeAsOf, r.startedAt)
 	if r.storeAsOf == 0 {
