frontend test: the pause before the first byte begins when the connection has been accepted

Cause: in the test. A connection is open for the caller before the server accepts it, and the server counts from the latter. The caller's pause began before.

Change: the caller waits until the server has accepted the connection. The bounds are the same.

--- a/entry/frontend/arrival_test.go
+++ b/entry/frontend/arrival_test.go
@@ -16,6 +16,21 @@
 	"github.com/lovagegap/lovagegap/core/route"
 )
 
+// reportingListener reports connections that it has accepted.
+type reportingListener struct {
+	net.Listener
+
+	accepted chan<- struct{}
+}
+
+func (l reportingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted <- struct{}{}
+	}
+	return c, err
+}
+
 // Guards against a caller's time that begins at the wrong instant: the wait before the
 // first byte counts on a new connection, and the idle time between requests never.
 func TestArrivalCountsFromAcceptOrFirstByte(t *testing.T) {
@@ -27,11 +42,15 @@
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	go func() { _ = server.Serve(Listen(l, func() (route.Limits, bool) { return route.Limits{}, false })) }()
+	accepted := make(chan struct{}, 1)
+	go func() {
+		_ = server.Serve(reportingListener{Listen(l, func() (route.Limits, bool) { return route.Limits{}, false }), accepted})
+	}()
 	defer server.Close()
 	c, err := net.Dial("tcp", l.Addr().String())
 	require.NoError(t, err)
 	defer c.Close()
+	<-accepted // Dial returns before that
 	reader := bufio.NewReader(c)
 	ask := func(between time.Duration) dispatch.Arrival {
 		time.Sleep(pause)
