gateway: the era of the store is read, logged and exported

Callers: none.

The daemon logs 'store era changed' at level 0 with the revisions before and after, adds the era to 'outdated reply' and exports store.era. Nothing else depends on the era yet.

--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -70,9 +70,11 @@
 }
 
 // Page is a page of a listing of the store, or a batch of its changes. More
-// reports whether further pages of the listing follow.
+// reports whether further pages of the listing follow. Era counts how often the store
+// has been restored from an older copy; 0 if it does not say.
 type Page struct {
 	Items    []mirror.Item
+	Era      uint64
 	Revision uint64
 	More     bool
 }
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -29,6 +29,7 @@
 	reached, age, calls := g.mirrorSyncer.storeMetrics()
 	set("store.reached", reached)
 	set("store.age-ms", age)
+	set("store.era", g.mirrorSyncer.latestEra())
 	set("store.held-removals", g.mirrorSyncer.heldRemovals())
 	for name, count := range calls {
 		set("store.calls."+name, count)
--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -47,6 +47,7 @@
 	observations replica.ObservationMerger
 	callCounts   map[string]int64 // by kind of call and outcome
 	outdatedFrom clock.Millis     // when the mirror was last current before it became outdated; 0 while it is not
+	storeEra     uint64           // latest one that the store has stated to this daemon
 }
 
 func newMirrorSyncer(g *Gateway) *mirrorSyncer {
@@ -207,6 +208,7 @@
 	if !s.reader.StoreReachable() {
 		s.log.Info("store reached", "revision", page.Revision)
 	}
+	s.recordEra(page)
 	age := s.reader.Age(now)
 	mirrored := s.mirror.Revision()
 	var changes []mirror.Item
@@ -215,7 +217,7 @@
 	} else {
 		changes = s.reader.HandleEvents(call.Call, now, page.Items, page.Revision)
 	}
-	s.recordOutdated(call.Kind().String(), mirrored, page.Revision, changes)
+	s.recordOutdated(call.Kind().String(), page.Era, mirrored, page.Revision, changes)
 	if call.Kind() == mirror.Watch && len(page.Items) == 0 && page.Revision > call.AfterRevision() {
 		// All keys of a store may be mirrored, so such a reply may lack changes.
 		s.callCounts["watch.skipped"]++
@@ -271,15 +273,23 @@
 	s.applyChanges(removals)
 }
 
+// recordEra logs that the store states another era than before. The caller holds the lock.
+func (s *mirrorSyncer) recordEra(page Page) {
+	if page.Era != 0 && page.Era != s.storeEra {
+		s.log.Info("store era changed", "era", page.Era, "before", s.storeEra, "revision", page.Revision, "mirrored", s.mirror.Revision())
+		s.storeEra = page.Era
+	}
+}
+
 // recordOutdated counts and logs a reply that is older than the mirror was when it
 // arrived, with the number of changes that it made. A peer without a copy replies with
-// revision 0. The caller holds the lock.
-func (s *mirrorSyncer) recordOutdated(kind string, mirrored, revision uint64, changes []mirror.Item) {
+// revision 0; the era of a peer's reply is 0. The caller holds the lock.
+func (s *mirrorSyncer) recordOutdated(kind string, era, mirrored, revision uint64, changes []mirror.Item) {
 	if revision == 0 || revision >= mirrored {
 		return
 	}
 	s.callCounts[kind+".outdated"]++
-	s.log.V(1).Info("outdated reply", "kind", kind, "revision", revision, "mirrored", mirrored, "changes", len(changes))
+	s.log.V(1).Info("outdated reply", "kind", kind, "era", era, "revision", revision, "mirrored", mirrored, "changes", len(changes))
 }
 
 // setSources sets the peers that may be followed. It must not take the lock: the
@@ -315,7 +325,7 @@
 	mirrored := s.mirror.Revision()
 	changes := s.reader.HandleFollowReply(now, call.Peer(), reply.items(), reply.Complete, reply.Revision,
 		mirror.AgeAtArrival(clock.Millis(reply.AgeMs), now-began, call.Wait()))
-	s.recordOutdated(call.Kind().String(), mirrored, reply.Revision, changes)
+	s.recordOutdated(call.Kind().String(), 0, mirrored, reply.Revision, changes)
 	s.handleProof(sentAt, reply)
 	s.logChanges(call.Kind().String(), call.Peer(), now-began, age, changes)
 	s.applyChanges(changes)
@@ -389,6 +399,13 @@
 	s.callCounts[kind]++
 }
 
+// latestEra returns the latest era that the store has stated, or 0.
+func (s *mirrorSyncer) latestEra() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(s.storeEra)
+}
+
 // storeMetrics returns 1 or 0 for whether the store is reachable, the age of the
 // mirror in milliseconds, and the number of calls by kind and outcome.
 func (s *mirrorSyncer) storeMetrics() (reached, age int64, calls map[string]int64) {
@@ -510,7 +527,7 @@
 	mirrored := s.mirror.Revision()
 	peerAge := mirror.AgeAtArrival(clock.Millis(reply.AgeMs), now-began, 0)
 	changes := s.reader.HandlePeerReply(now, reply.items(), reply.Complete, reply.Revision, peerAge)
-	s.recordOutdated("peer", mirrored, reply.Revision, changes)
+	s.recordOutdated("peer", 0, mirrored, reply.Revision, changes)
 	s.handleProof(sentAt, reply)
 	s.logChanges("peer", peer, now-began, age, changes)
 	s.applyChanges(changes)
