--- a/core/mirror/late_test.go
+++ b/core/mirror/late_test.go
@@ -44,15 +44,15 @@
 		s.calls = append(s.calls, &delayedCall{call: s.reader.Begin(next, now, now), sentAt: now})
 	}
 	s.calls = slices.DeleteFunc(s.calls, func(c *delayedCall) bool {
-		due := c.call.Kind() == List || newest > c.call.AfterRevision() || now >= c.sentAt+c.call.Wait()
+		due := c.call.Kind() == List || newest > c.call.AfterRevision().Number() || now >= c.sentAt+c.call.Wait()
 		if due && c.reply == nil {
 			c.reply = &pendingReply{now + s.delay(), newest}
 		}
 		if c.reply != nil && now >= c.reply.at {
 			if c.call.Kind() == List {
-				s.reader.HandlePage(c.call, now, nil, c.reply.revision, false)
+				s.reader.HandlePage(c.call, now, nil, revisionAt(c.reply.revision), false)
 			} else {
-				s.reader.HandleEvents(c.call, now, nil, c.reply.revision)
+				s.reader.HandleEvents(c.call, now, nil, revisionAt(c.reply.revision))
 			}
 			return true
 		}
@@ -76,7 +76,7 @@
 	var m Mirror
 	r := NewReader(1, &m, random)
 	if inTouchAt == 0 {
-		r.HandlePage(Call{}, 1, nil, 1, false)
+		r.HandlePage(Call{}, 1, nil, revisionAt(1), false)
 	}
 	store := &delayedStore{reader: r, delay: func() clock.Millis { return delay(random) }}
 	commits := []clock.Millis{0, 0} // by revision
@@ -97,11 +97,11 @@
 			started.End()
 		}
 		if peerReply != nil && now >= peerReply.at {
-			r.HandlePeerReply(now, nil, !m.Complete(), peerReply.revision, peerDistance)
+			r.HandlePeerReply(now, nil, !m.Complete(), revisionAt(peerReply.revision), peerDistance)
 			round.End()
 			peerReply = nil
 		}
-		for ; arrived < m.Revision(); arrived++ {
+		for ; arrived < m.Revision().Number(); arrived++ {
 			longest = max(longest, now-max(commits[arrived+1], inTouchAt))
 		}
 	}
@@ -150,13 +150,13 @@
 // that looks current because the store has no changes for it.
 func TestDelayedRepliesAreDatedBack(t *testing.T) {
 	r := newTestReader(newTestMirror())
-	r.HandlePage(Call{}, 1, nil, 3, false)
+	r.HandlePage(Call{}, 1, nil, revisionAt(3), false)
 	call := r.Begin(r.Next(2000), 2000, 2000)
 	require.Equal(t, Watch, call.Kind())
-	r.HandleEvents(call, 2000+watchWait+replyDelay, nil, 4)
+	r.HandleEvents(call, 2000+watchWait+replyDelay, nil, revisionAt(4))
 	assert.Zero(t, r.Age(2000+watchWait+replyDelay))
 	call = r.Begin(r.Next(4000), 4000, 4000)
-	r.HandleEvents(call, 4000+watchWait+replyDelay+400, nil, 4)
+	r.HandleEvents(call, 4000+watchWait+replyDelay+400, nil, revisionAt(4))
 	assert.EqualValues(t, 400, r.Age(4000+watchWait+replyDelay+400))
 	r.RecordFailure(call, 8000, ErrCompacted)
 	assert.EqualValues(t, 8000-4000-watchWait-replyDelay, r.Age(8000))
@@ -172,18 +172,18 @@
 	first := r.Begin(r.Next(0), 0, 0)
 	r.RecordFailure(first, listTimeout, ErrNoReply)
 	again := r.Begin(r.Next(1500), 1500, 1500)
-	r.HandlePage(first, 1600, []Item{item("a", 1)}, 10, true)
+	r.HandlePage(first, 1600, []Item{item("a", 1)}, revisionAt(10), true)
 	second := r.Begin(r.Next(1700), 1700, 1700)
 	require.Equal(t, "a", second.AfterKey())
-	assert.Empty(t, r.HandlePage(again, 1800, []Item{item("x", 11)}, 11, false), "the second page is waited for")
+	assert.Empty(t, r.HandlePage(again, 1800, []Item{item("x", 11)}, revisionAt(11), false), "the second page is waited for")
 
 	r.RecordFailure(second, 2000, ErrUnavailable)
 	assert.Empty(t, r.Next(2100).AfterKey(), "an error begins a new listing")
-	r.HandlePage(r.Begin(r.Next(3000), 3000, 3000), 3000, []Item{item("a", 1)}, 20, true)
-	assert.Empty(t, r.HandlePage(second, 3100, nil, 12, false), "of the earlier listing")
+	r.HandlePage(r.Begin(r.Next(3000), 3000, 3000), 3000, []Item{item("a", 1)}, revisionAt(20), true)
+	assert.Empty(t, r.HandlePage(second, 3100, nil, revisionAt(12), false), "of the earlier listing")
 	second = r.Begin(r.Next(3200), 3200, 3200)
-	assert.Equal(t, []string{"a", "b"}, changedKeys(r.HandlePage(second, 3300, []Item{item("b", 15)}, 20, false)))
-	assert.EqualValues(t, 20, r.mirror.Revision())
+	assert.Equal(t, []string{"a", "b"}, changedKeys(r.HandlePage(second, 3300, []Item{item("b", 15)}, revisionAt(20), false)))
+	assert.Equal(t, revisionAt(20), r.mirror.Revision())
 }
 
 // Guards against held removals and a new listing because a call fails that a later one has
@@ -192,13 +192,13 @@
 	for name, err := range map[string]error{"no reply": ErrNoReply, "error": ErrUnavailable, "compacted": ErrCompacted} {
 		t.Run(name, func(t *testing.T) {
 			r := newTestReader(&Mirror{})
-			r.HandlePage(Call{}, 10, []Item{item("a", 1)}, 10, false)
+			r.HandlePage(Call{}, 10, []Item{item("a", 1)}, revisionAt(10), false)
 			overtaken := r.Begin(r.Next(2000), 2000, 2000)
-			r.HandleEvents(r.Begin(r.Next(3400), 3400, 3400), 3500, []Item{item("b", 11)}, 11)
+			r.HandleEvents(r.Begin(r.Next(3400), 3400, 3400), 3500, []Item{item("b", 11)}, revisionAt(11))
 			assert.False(t, r.RecordFailure(overtaken, 3900, err))
 			assert.True(t, r.StoreReachable())
 			assert.Equal(t, Watch, r.Next(3900).Kind())
-			assert.Equal(t, []string{"-a"}, changedKeys(r.mirror.Apply(4000, []Item{NewRemoval("a", 12)}, 12)), "is not held back")
+			assert.Equal(t, []string{"-a"}, changedKeys(r.mirror.Apply(4000, []Item{NewRemoval("a", revisionAt(12))}, revisionAt(12))), "is not held back")
 		})
 	}
 }
@@ -207,9 +207,9 @@
 // whose daemon asks no peer meanwhile.
 func TestMirrorIsCurrentAfterLastPage(t *testing.T) {
 	r := newTestReader(newTestMirror())
-	r.HandlePage(r.Begin(r.Next(1000), 1000, 1000), 1010, []Item{item("a", 4)}, 4, true)
+	r.HandlePage(r.Begin(r.Next(1000), 1000, 1000), 1010, []Item{item("a", 4)}, revisionAt(4), true)
 	assert.EqualValues(t, 1010, r.Age(1010))
 	assert.True(t, r.StartPeerRequest(1010+maxStoreSilence, 0))
-	r.HandlePage(r.Begin(r.Next(2000), 2000, 2000), 2010, []Item{item("b", 6)}, 6, false)
+	r.HandlePage(r.Begin(r.Next(2000), 2000, 2000), 2010, []Item{item("b", 6)}, revisionAt(6), false)
 	assert.EqualValues(t, 1000, r.Age(2010), "as of the first page")
 }
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -10,7 +10,10 @@
 	"github.com/lovagegap/lovagegap/core/clock"
 )
 
-func item(key string, revision uint64) Item { return NewItem(key, []byte(key), revision) }
+// revisionAt returns the revision with a number in an era that the store does not state.
+func revisionAt(number uint64) Revision { return NewRevision(Era{}, number) }
+
+func item(key string, revision uint64) Item { return NewItem(key, []byte(key), revisionAt(revision)) }
 
 // changedKeys returns the keys of the changes, with a minus sign before removed ones.
 func changedKeys(changes []Item) []string {
@@ -28,7 +31,7 @@
 // newTestMirror returns a mirror with the keys a, b and c at revision 3.
 func newTestMirror() *Mirror {
 	var m Mirror
-	m.Replace(0, []Item{item("a", 1), item("b", 2), item("c", 3)}, 3)
+	m.Replace(0, []Item{item("a", 1), item("b", 2), item("c", 3)}, revisionAt(3))
 	return &m
 }
 
@@ -37,9 +40,9 @@
 func TestKnownChangesAreNotAppliedAgain(t *testing.T) {
 	m := newTestMirror()
 	assert.Equal(t, []string{"b", "-c"},
-		changedKeys(m.Apply(10, []Item{item("a", 1), item("b", 5), NewRemoval("c", 6)}, 6)))
-	assert.Empty(t, m.Apply(11, []Item{item("b", 5), NewRemoval("c", 6), NewRemoval("b", 4)}, 6))
-	assert.Equal(t, uint64(6), m.Revision())
+		changedKeys(m.Apply(10, []Item{item("a", 1), item("b", 5), NewRemoval("c", revisionAt(6))}, revisionAt(6))))
+	assert.Empty(t, m.Apply(11, []Item{item("b", 5), NewRemoval("c", revisionAt(6)), NewRemoval("b", revisionAt(4))}, revisionAt(6)))
+	assert.Equal(t, revisionAt(6), m.Revision())
 }
 
 // Guards against a replica that has left and is used again: the reply of a watch or of a
@@ -47,25 +50,25 @@
 func TestDelayedReplyDoesNotRestoreRemovedKey(t *testing.T) {
 	for name, handle := range map[string]func(r *Reader, items []Item, revision uint64) []Item{
 		"watch": func(r *Reader, items []Item, revision uint64) []Item {
-			return r.HandleEvents(Call{}, 30, items, revision)
+			return r.HandleEvents(Call{}, 30, items, revisionAt(revision))
 		},
 		"peer": func(r *Reader, items []Item, revision uint64) []Item {
-			return r.HandlePeerReply(30, items, false, revision, 0)
+			return r.HandlePeerReply(30, items, false, revisionAt(revision), 0)
 		},
 		"follow": func(r *Reader, items []Item, revision uint64) []Item {
-			return r.HandleFollowReply(30, "p", items, false, revision, 0)
+			return r.HandleFollowReply(30, "p", items, false, revisionAt(revision), 0)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := newTestMirror()
 			r := newTestReader(m)
-			assert.Equal(t, []string{"-a"}, changedKeys(r.HandlePeerReply(20, []Item{NewRemoval("a", 5)}, false, 6, 0)))
+			assert.Equal(t, []string{"-a"}, changedKeys(r.HandlePeerReply(20, []Item{NewRemoval("a", revisionAt(5))}, false, revisionAt(6), 0)))
 			assert.Empty(t, handle(r, []Item{item("a", 4)}, 4), "ends before the removal")
-			assert.Equal(t, []string{"b"}, changedKeys(handle(r, []Item{item("a", 4), NewRemoval("a", 5), item("b", 7)}, 7)),
+			assert.Equal(t, []string{"b"}, changedKeys(handle(r, []Item{item("a", 4), NewRemoval("a", revisionAt(5)), item("b", 7)}, 7)),
 				"ends after the removal: the replica must not be listed and removed again")
 			_, listed := m.Get("a")
 			assert.False(t, listed)
-			items, _, _ := m.ChangesSince(0)
+			items, _, _ := m.ChangesSince(revisionAt(0))
 			assert.Equal(t, []string{"c", "b"}, changedKeys(items), "for a peer")
 		})
 	}
@@ -76,8 +79,8 @@
 func TestDelayedReplyDoesNotEndHeldRemoval(t *testing.T) {
 	m := newTestMirror()
 	m.RecordStoreFailure(1000)
-	m.Apply(1500, []Item{NewRemoval("a", 5)}, 6)
-	assert.Empty(t, m.Apply(1600, []Item{item("a", 4)}, 4))
+	m.Apply(1500, []Item{NewRemoval("a", revisionAt(5))}, revisionAt(6))
+	assert.Empty(t, m.Apply(1600, []Item{item("a", 4)}, revisionAt(4)))
 	assert.Equal(t, []string{"-a"}, changedKeys(m.Expire(1000+lapseGracePeriod)))
 }
 
@@ -98,7 +101,7 @@
 					continue
 				}
 				replies[i] = d.replies
-				revision := d.mirror.Revision()
+				revision := d.mirror.Revision().Number()
 				for n := revision; n > 0 && n+4 > revision; n-- {
 					if s.lacks(d, n) {
 						require.Failf(t, "change is missing", "seed %d, daemon %d at %v: %d of %d", seed, i, s.now, n, revision)
@@ -117,24 +120,24 @@
 	m := newTestMirror()
 	removals := make([]Item, 0, maxTombstones)
 	for revision := uint64(10); len(removals) < maxTombstones; revision++ {
-		removals = append(removals, NewRemoval("gone", revision))
+		removals = append(removals, NewRemoval("gone", revisionAt(revision)))
 	}
-	last := removals[len(removals)-1].revision
-	m.Apply(10, removals, last)
-	m.Apply(20, []Item{NewRemoval("late", 4)}, 4)
+	last := removals[len(removals)-1].revision.number
+	m.Apply(10, removals, revisionAt(last))
+	m.Apply(20, []Item{NewRemoval("late", revisionAt(4))}, revisionAt(4))
 	for range maxTombstones {
 		last++
-		m.Apply(30, []Item{NewRemoval("gone", last)}, last)
+		m.Apply(30, []Item{NewRemoval("gone", revisionAt(last))}, revisionAt(last))
 	}
-	_, complete, _ := m.ChangesSince(last - maxTombstones - 1)
+	_, complete, _ := m.ChangesSince(revisionAt(last - maxTombstones - 1))
 	assert.True(t, complete)
 }
 
 // Guards against a delayed listing that returns the mirror to an earlier state.
 func TestOutdatedListingIsIgnored(t *testing.T) {
 	m := newTestMirror()
-	m.Apply(10, []Item{item("d", 9)}, 9)
-	assert.Empty(t, m.Replace(20, []Item{item("a", 1)}, 4))
+	m.Apply(10, []Item{item("d", 9)}, revisionAt(9))
+	assert.Empty(t, m.Replace(20, []Item{item("a", 1)}, revisionAt(4)))
 	assert.Equal(t, 4, m.Len())
 }
 
@@ -144,11 +147,11 @@
 func TestLapsedEntriesAreHeldAfterStoreFailure(t *testing.T) {
 	m := newTestMirror()
 	m.RecordStoreFailure(1000)
-	assert.Empty(t, m.Apply(1500, []Item{NewRemoval("a", 4), NewRemoval("b", 5)}, 5))
-	assert.Equal(t, []string{"a"}, changedKeys(m.Apply(2000, []Item{item("a", 6)}, 6)))
+	assert.Empty(t, m.Apply(1500, []Item{NewRemoval("a", revisionAt(4)), NewRemoval("b", revisionAt(5))}, revisionAt(5)))
+	assert.Equal(t, []string{"a"}, changedKeys(m.Apply(2000, []Item{item("a", 6)}, revisionAt(6))))
 	assert.Empty(t, m.Expire(3000))
 	assert.Equal(t, []string{"-b"}, changedKeys(m.Expire(1000+lapseGracePeriod)))
-	assert.Equal(t, []string{"-c"}, changedKeys(m.Apply(9000, []Item{NewRemoval("c", 9)}, 9)),
+	assert.Equal(t, []string{"-c"}, changedKeys(m.Apply(9000, []Item{NewRemoval("c", revisionAt(9))}, revisionAt(9))),
 		"without a store failure a removal applies at once")
 }
 
@@ -157,7 +160,7 @@
 func TestGracePeriodStartsAtLastStoreFailure(t *testing.T) {
 	m := newTestMirror()
 	m.RecordStoreFailure(1000)
-	m.Apply(1500, []Item{NewRemoval("a", 4)}, 4)
+	m.Apply(1500, []Item{NewRemoval("a", revisionAt(4))}, revisionAt(4))
 	m.RecordStoreFailure(3000)
 	assert.Empty(t, m.Expire(4000))
 	assert.Equal(t, []string{"-a"}, changedKeys(m.Expire(3000+lapseGracePeriod)))
@@ -170,9 +173,9 @@
 	r := newTestReader(m)
 	for at := now - lapseGracePeriod - 10; at < now; at += 1000 {
 		call := r.Begin(r.Next(at), at, at)
-		r.HandleEvents(call, at, []Item{NewRemoval("a", 5)}, 6)
+		r.HandleEvents(call, at, []Item{NewRemoval("a", revisionAt(5))}, revisionAt(6))
 	}
-	r.HandleEvents(r.Begin(r.Next(now-10), now-10, now-10), now-10, nil, 6)
+	r.HandleEvents(r.Begin(r.Next(now-10), now-10, now-10), now-10, nil, revisionAt(6))
 	require.True(t, r.Settled(now))
 	return r
 }
@@ -189,11 +192,11 @@
 	assert.Empty(t, r.HandlePeerReply(now, items, complete, revision, peer.Age(now)), "held back")
 	r.RecordFailure(Call{}, now+1, ErrUnavailable)
 	assert.False(t, r.Settled(now+1))
-	assert.Empty(t, r.HandleSettledReply(now+1, 4, false), "of before the removal")
+	assert.Empty(t, r.HandleSettledReply(now+1, revisionAt(4), false), "of before the removal")
 	assert.Equal(t, []string{"-a"}, changedKeys(r.HandleSettledReply(now+2, revision, false)))
 	_, listed := m.Get("a")
 	assert.False(t, listed)
-	assert.Empty(t, m.Apply(now+3, []Item{item("a", 4)}, 6), "is not listed again by an older reply")
+	assert.Empty(t, m.Apply(now+3, []Item{item("a", 4)}, revisionAt(6)), "is not listed again by an older reply")
 }
 
 // Guards against requests to a replica that has left, at a daemon whose calls fail although the
@@ -205,10 +208,10 @@
 			m := newTestMirror()
 			r := newTestReader(m)
 			r.RecordFailure(Call{}, 10_000, ErrUnavailable)
-			assert.Empty(t, r.HandlePeerReply(10_100, []Item{NewRemoval("a", 5)}, false, 5, age), "held back")
+			assert.Empty(t, r.HandlePeerReply(10_100, []Item{NewRemoval("a", revisionAt(5))}, false, revisionAt(5), age), "held back")
 			for at := clock.Millis(11_000); at < 16_000; at += 1000 {
 				r.RecordFailure(Call{}, at, ErrUnavailable)
-				r.HandlePeerReply(at+100, nil, false, 5, age+map[bool]clock.Millis{true: at - 10_000}[age > maxSourceAge])
+				r.HandlePeerReply(at+100, nil, false, revisionAt(5), age+map[bool]clock.Millis{true: at - 10_000}[age > maxSourceAge])
 			}
 			var want []string
 			if age <= maxSourceAge {
@@ -227,14 +230,17 @@
 		"store failed": func(r *Reader) { r.RecordFailure(r.Begin(r.Next(now), now, now), now, ErrUnavailable) },
 		"store answers again": func(r *Reader) {
 			r.RecordFailure(r.Begin(r.Next(now), now, now), now, ErrUnavailable)
-			r.HandleEvents(r.Begin(r.Next(now+1), now+1, now+1), now+1, nil, 6)
+			r.HandleEvents(r.Begin(r.Next(now+1), now+1, now+1), now+1, nil, revisionAt(6))
 		},
 		"resumed after a gap": func(r *Reader) {
 			call := r.Begin(r.Next(now+maxReadGap), now+maxReadGap, 0)
-			r.HandleEvents(call, now+maxReadGap, nil, 6)
+			r.HandleEvents(call, now+maxReadGap, nil, revisionAt(6))
+		},
+		"follows an outdated peer": func(r *Reader) {
+			*r = *newTestReader(r.mirror)
+			r.HandleFollowReply(now, "p", nil, false, revisionAt(6), 0)
 		},
-		"follows an outdated peer": func(r *Reader) { *r = *newTestReader(r.mirror); r.HandleFollowReply(now, "p", nil, false, 6, 0) },
-		"follows a settled peer":   func(r *Reader) { *r = *newTestReader(r.mirror); r.HandleSettledReply(now, 6, true) },
+		"follows a settled peer": func(r *Reader) { *r = *newTestReader(r.mirror); r.HandleSettledReply(now, revisionAt(6), true) },
 	} {
 		r := newSettledReader(t, now)
 		disturb(r)
@@ -246,12 +252,12 @@
 // revision, or a complete listing if the removals since then are unknown.
 func TestChangesSinceIncludesRemovals(t *testing.T) {
 	m := newTestMirror()
-	m.Apply(10, []Item{NewRemoval("b", 4), item("d", 5)}, 5)
-	items, complete, revision := m.ChangesSince(3)
+	m.Apply(10, []Item{NewRemoval("b", revisionAt(4)), item("d", 5)}, revisionAt(5))
+	items, complete, revision := m.ChangesSince(revisionAt(3))
 	assert.Equal(t, []string{"-b", "d"}, changedKeys(items))
 	assert.False(t, complete)
-	assert.Equal(t, uint64(5), revision)
-	items, complete, _ = m.ChangesSince(2)
+	assert.Equal(t, revisionAt(5), revision)
+	items, complete, _ = m.ChangesSince(revisionAt(2))
 	assert.True(t, complete, "removals before the listing are unknown")
 	assert.Equal(t, []string{"a", "c", "d"}, changedKeys(items))
 }
@@ -265,10 +271,10 @@
 	r := newTestReader(&m)
 	call := r.Begin(r.Next(0), 0, 0)
 	assert.Equal(t, List, call.Kind())
-	r.HandlePage(call, 5, []Item{item("a", 1)}, 7, false)
+	r.HandlePage(call, 5, []Item{item("a", 1)}, revisionAt(7), false)
 	call = r.Next(6)
 	assert.Equal(t, Watch, call.Kind())
-	assert.Equal(t, uint64(7), call.AfterRevision())
+	assert.Equal(t, revisionAt(7), call.AfterRevision())
 	assert.Equal(t, watchInterval, call.At())
 	var delays []clock.Millis
 	now := clock.Millis(2000)
@@ -287,11 +293,11 @@
 func TestListingHasRevisionOfFirstPage(t *testing.T) {
 	var m Mirror
 	r := newTestReader(&m)
-	assert.Empty(t, r.HandlePage(Call{}, 1, []Item{item("a", 1)}, 10, true))
+	assert.Empty(t, r.HandlePage(Call{}, 1, []Item{item("a", 1)}, revisionAt(10), true))
 	call := r.Next(1)
 	assert.Equal(t, "a", call.AfterKey())
-	assert.Equal(t, []string{"a", "b"}, changedKeys(r.HandlePage(call, 2, []Item{item("b", 12)}, 15, false)))
-	assert.Equal(t, uint64(10), m.Revision())
+	assert.Equal(t, []string{"a", "b"}, changedKeys(r.HandlePage(call, 2, []Item{item("b", 12)}, revisionAt(15), false)))
+	assert.Equal(t, revisionAt(10), m.Revision())
 }
 
 // Guards against a mirror that stays outdated after the store has compacted the
@@ -299,11 +305,11 @@
 func TestCompactedHistoryCausesNewListing(t *testing.T) {
 	var m Mirror
 	r := newTestReader(&m)
-	r.HandlePage(Call{}, 1, []Item{item("a", 1)}, 10, false)
+	r.HandlePage(Call{}, 1, []Item{item("a", 1)}, revisionAt(10), false)
 	r.RecordFailure(Call{}, 2, ErrCompacted)
 	call := r.Begin(r.Next(2), 2, 2)
 	assert.Equal(t, List, call.Kind())
-	assert.Equal(t, []string{"-a", "b"}, changedKeys(r.HandlePage(call, 3, []Item{item("b", 20)}, 20, false)))
+	assert.Equal(t, []string{"-a", "b"}, changedKeys(r.HandlePage(call, 3, []Item{item("b", 20)}, revisionAt(20), false)))
 }
 
 // Guards against a mirror that stays outdated while the store does not answer this
@@ -313,13 +319,13 @@
 	var m Mirror
 	r := newTestReader(&m)
 	assert.True(t, r.StartPeerRequest(1, 0), "a daemon that starts asks at once")
-	assert.Equal(t, []string{"a"}, changedKeys(r.HandlePeerReply(5, []Item{item("a", 3)}, true, 3, 100)))
-	r.HandlePage(Call{}, 10, []Item{item("a", 3)}, 4, false)
+	assert.Equal(t, []string{"a"}, changedKeys(r.HandlePeerReply(5, []Item{item("a", 3)}, true, revisionAt(3), 100)))
+	r.HandlePage(Call{}, 10, []Item{item("a", 3)}, revisionAt(4), false)
 	assert.False(t, r.StartPeerRequest(100, 0))
 	assert.True(t, r.StartPeerRequest(10+maxStoreSilence, 0))
 	assert.False(t, r.StartPeerRequest(11+maxStoreSilence, 0), "within peerRequestInterval")
-	assert.Empty(t, r.HandlePeerReply(2000, nil, true, 2, 0))
-	assert.Equal(t, []string{"b"}, changedKeys(r.HandlePeerReply(2000, []Item{item("b", 9)}, false, 9, 300)))
+	assert.Empty(t, r.HandlePeerReply(2000, nil, true, revisionAt(2), 0))
+	assert.Equal(t, []string{"b"}, changedKeys(r.HandlePeerReply(2000, []Item{item("b", 9)}, false, revisionAt(9), 300)))
 	assert.InDelta(t, 300, float64(r.Age(2000)), 1)
 }
 
@@ -327,7 +333,7 @@
 // call.
 func TestPeersAreAskedAfterFailureOfStore(t *testing.T) {
 	r := newTestReader(newTestMirror())
-	r.HandleEvents(Call{}, 1000, nil, 4)
+	r.HandleEvents(Call{}, 1000, nil, revisionAt(4))
 	assert.False(t, r.StartPeerRequest(1100, 0))
 	r.RecordFailure(Call{}, 1200, ErrUnavailable)
 	assert.True(t, r.StartPeerRequest(1200, 0))
@@ -340,16 +346,16 @@
 	r := newTestReader(&m)
 	r.SetSources([]string{"p1", "p2"})
 	assert.Equal(t, List, r.Next(0).Kind(), "the first listing comes from the store")
-	r.HandlePage(Call{}, 1, []Item{item("a", 1)}, 10, false)
+	r.HandlePage(Call{}, 1, []Item{item("a", 1)}, revisionAt(10), false)
 	call := r.Next(2)
 	assert.Equal(t, Follow, call.Kind())
 	assert.Equal(t, "p1", call.Peer())
 	r.RecordSourceFailure(3, "p1")
 	assert.Equal(t, "p2", r.Next(3).Peer())
-	r.HandleFollowReply(4, "p2", nil, false, 10, maxSourceAge+1)
+	r.HandleFollowReply(4, "p2", nil, false, revisionAt(10), maxSourceAge+1)
 	assert.Equal(t, Watch, r.Next(5).Kind(), "both sources are ejected")
 	assert.Equal(t, "p1", r.Next(3+sourceEjectionTime).Peer())
-	require.Equal(t, []string{"b"}, changedKeys(r.HandleFollowReply(3100, "p1", []Item{item("b", 11)}, false, 11, 20)))
+	require.Equal(t, []string{"b"}, changedKeys(r.HandleFollowReply(3100, "p1", []Item{item("b", 11)}, false, revisionAt(11), 20)))
 	assert.False(t, r.StartPeerRequest(3200, 0))
 }
 
--- a/core/mirror/proof.go
+++ b/core/mirror/proof.go
@@ -75,9 +75,9 @@
 // instant at which the request was sent and receivedAt that of the reply, on the clock that
 // counts suspension. The request arrived after sentAt, so the peer's proof is at least as
 // late as sentAt + Held - Age, however long the reply took. It also holds for a mirror that
-// is ahead of the peer's.
-func (r *Reader) HandlePeerProof(sentAt, receivedAt clock.Millis, revision uint64, proof PeerProof) {
-	if revision == 0 || r.mirror.Revision() < revision || !proof.valid(receivedAt-sentAt) {
+// is ahead of the peer's in the same era.
+func (r *Reader) HandlePeerProof(sentAt, receivedAt clock.Millis, revision Revision, proof PeerProof) {
+	if revision.IsZero() || revision.era != r.mirror.Revision().era || r.mirror.Revision().Before(revision) || !proof.valid(receivedAt-sentAt) {
 		return
 	}
 	r.prove(sentAt + proof.Held - proof.Age)
--- a/core/mirror/proof_test.go
+++ b/core/mirror/proof_test.go
@@ -18,7 +18,7 @@
 	r := newTestReader(&Mirror{})
 	r.SetMaxProofAge(MaxProofAge(testRevocation))
 	call := r.Begin(r.Next(1000), 1000, 1000)
-	r.HandlePage(call, 1010, []Item{item("a", 1)}, 10, false)
+	r.HandlePage(call, 1010, []Item{item("a", 1)}, revisionAt(10), false)
 	return r
 }
 
@@ -35,11 +35,11 @@
 		}, 1000},
 		"watch answered late": {func(r *Reader) {
 			call := r.Begin(r.Next(2100), 2100, 2100)
-			r.HandleEvents(call, 3900, []Item{item("b", 11)}, 11)
+			r.HandleEvents(call, 3900, []Item{item("b", 11)}, revisionAt(11))
 		}, 2100},
 		"watch behind the mirror": {func(r *Reader) {
 			call := r.Begin(r.Next(2100), 2100, 2100)
-			r.HandleEvents(call, 2110, nil, 9)
+			r.HandleEvents(call, 2110, nil, revisionAt(9))
 		}, 1000},
 		"compacted": {func(r *Reader) {
 			call := r.Begin(r.Next(2100), 2100, 2100)
@@ -48,66 +48,67 @@
 		"listing after compaction": {func(r *Reader) {
 			r.RecordFailure(Call{}, 2110, ErrCompacted)
 			call := r.Begin(r.Next(2200), 2200, 2200)
-			r.HandlePage(call, 2210, []Item{item("a", 20)}, 20, false)
+			r.HandlePage(call, 2210, []Item{item("a", 20)}, revisionAt(20), false)
 		}, 2200},
 		"listing unfinished": {func(r *Reader) {
 			r.RecordFailure(Call{}, 2110, ErrCompacted)
 			call := r.Begin(r.Next(2200), 2200, 2200)
-			r.HandlePage(call, 2210, []Item{item("a", 20)}, 20, true)
+			r.HandlePage(call, 2210, []Item{item("a", 20)}, revisionAt(20), true)
 		}, 1000},
 		"listing in pages": {func(r *Reader) {
 			r.RecordFailure(Call{}, 2110, ErrCompacted)
 			call := r.Begin(r.Next(2200), 2200, 2200)
-			r.HandlePage(call, 2210, []Item{item("a", 20)}, 20, true)
+			r.HandlePage(call, 2210, []Item{item("a", 20)}, revisionAt(20), true)
 			call = r.Begin(r.Next(2300), 2300, 2300)
-			r.HandlePage(call, 2310, []Item{item("b", 21)}, 21, false)
+			r.HandlePage(call, 2310, []Item{item("b", 21)}, revisionAt(21), false)
 		}, 2200},
 		"listing begun again after a failed page": {func(r *Reader) {
 			r.RecordFailure(Call{}, 2110, ErrCompacted)
 			call := r.Begin(r.Next(2200), 2200, 2200)
-			r.HandlePage(call, 2210, []Item{item("a", 20)}, 20, true)
+			r.HandlePage(call, 2210, []Item{item("a", 20)}, revisionAt(20), true)
 			r.RecordFailure(call, 2400, ErrUnavailable)
 			call = r.Begin(r.Next(2600), 2600, 2600)
-			r.HandlePage(call, 2610, []Item{item("a", 20)}, 20, false)
+			r.HandlePage(call, 2610, []Item{item("a", 20)}, revisionAt(20), false)
 		}, 2600},
 		"listing behind the mirror": {func(r *Reader) {
 			r.RecordFailure(Call{}, 2110, ErrCompacted)
 			call := r.Begin(r.Next(2200), 2200, 2200)
-			r.HandlePage(call, 2210, []Item{item("a", 1)}, 9, false)
+			r.HandlePeerReply(2205, nil, false, revisionAt(12), 0)
+			r.HandlePage(call, 2210, []Item{item("a", 1)}, revisionAt(11), false)
 		}, 1000},
 		"suspended during a watch": {func(r *Reader) {
 			call := r.Begin(r.Next(2100), 2100, 2100)
-			r.HandleEvents(call, 2200, []Item{item("b", 11)}, 11) // a minute later on the other clock
+			r.HandleEvents(call, 2200, []Item{item("b", 11)}, revisionAt(11)) // a minute later on the other clock
 		}, 2100},
 		"peer": {func(r *Reader) {
-			r.HandlePeerProof(3000, 3010, 10, PeerProof{Age: 400, Held: 2})
+			r.HandlePeerProof(3000, 3010, revisionAt(10), PeerProof{Age: 400, Held: 2})
 		}, 2602},
 		"follow held and answered at once": {func(r *Reader) {
-			r.HandlePeerProof(3000, 4300, 10, PeerProof{Age: 100, Held: 1200})
+			r.HandlePeerProof(3000, 4300, revisionAt(10), PeerProof{Age: 100, Held: 1200})
 		}, 4100},
 		"follow reply delayed": {func(r *Reader) {
-			r.HandlePeerProof(3000, 9000, 10, PeerProof{Age: 100, Held: 1200})
+			r.HandlePeerProof(3000, 9000, revisionAt(10), PeerProof{Age: 100, Held: 1200})
 		}, 4100},
 		"peer with an older proof": {func(r *Reader) {
-			r.HandlePeerProof(3000, 3010, 10, PeerProof{Age: 2500, Held: 2})
+			r.HandlePeerProof(3000, 3010, revisionAt(10), PeerProof{Age: 2500, Held: 2})
 		}, 1000},
 		"peer behind the mirror": {func(r *Reader) {
-			r.HandlePeerProof(3000, 3010, 8, PeerProof{Age: 400, Held: 2})
+			r.HandlePeerProof(3000, 3010, revisionAt(8), PeerProof{Age: 400, Held: 2})
 		}, 2602},
 		"peer ahead of the mirror": {func(r *Reader) {
-			r.HandlePeerProof(3000, 3010, 12, PeerProof{Age: 400, Held: 2})
+			r.HandlePeerProof(3000, 3010, revisionAt(12), PeerProof{Age: 400, Held: 2})
 		}, 1000},
 		"peer without a mirror": {func(r *Reader) {
-			r.HandlePeerProof(3000, 3010, 0, PeerProof{Age: 400, Held: 2})
+			r.HandlePeerProof(3000, 3010, revisionAt(0), PeerProof{Age: 400, Held: 2})
 		}, 1000},
 		"held longer than the request took": {func(r *Reader) {
-			r.HandlePeerProof(3000, 3010, 10, PeerProof{Age: 0, Held: 11})
+			r.HandlePeerProof(3000, 3010, revisionAt(10), PeerProof{Age: 0, Held: 11})
 		}, 1000},
 		"negative age": {func(r *Reader) {
-			r.HandlePeerProof(3000, 3010, 10, PeerProof{Age: -1, Held: 1})
+			r.HandlePeerProof(3000, 3010, revisionAt(10), PeerProof{Age: -1, Held: 1})
 		}, 1000},
 		"undefined age": {func(r *Reader) {
-			r.HandlePeerProof(3000, 3010, 10, PeerProof{Age: clock.Millis(math.NaN()), Held: 1})
+			r.HandlePeerProof(3000, 3010, revisionAt(10), PeerProof{Age: clock.Millis(math.NaN()), Held: 1})
 		}, 1000},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -119,7 +120,7 @@
 		})
 	}
 	empty := newTestReader(&Mirror{})
-	empty.HandlePeerProof(3000, 3010, 10, PeerProof{Age: 400, Held: 2})
+	empty.HandlePeerProof(3000, 3010, revisionAt(10), PeerProof{Age: 400, Held: 2})
 	_, proven := empty.ProvenAt()
 	assert.False(t, proven, "a proof without the changes")
 }
--- a/core/mirror/reader.go
+++ b/core/mirror/reader.go
@@ -84,14 +84,17 @@
 	kind          CallKind
 	at            clock.Millis
 	afterKey      string
-	afterRevision uint64
+	afterRevision Revision
 	wait          clock.Millis
 	timeout       clock.Millis
 	overdue       clock.Millis
 	peer          string
-	listing       int          // Reader.listingNumber when a List was planned
-	startedAt     clock.Millis // set by Begin
-	sentAt        clock.Millis // the same on the clock that counts suspension
+	listing       int // Reader.listingNumber when a List was planned
+	// Begin sets the following.
+	startedAt clock.Millis
+	sentAt    clock.Millis // the same on the clock that counts suspension
+	known     Revision     // of the mirror
+	era       Era          // latest one that was known
 }
 
 // Kind returns what to read.
@@ -104,7 +107,7 @@
 func (c Call) AfterKey() string { return c.afterKey }
 
 // AfterRevision returns the revision after which a Watch or Follow reads changes.
-func (c Call) AfterRevision() uint64 { return c.afterRevision }
+func (c Call) AfterRevision() Revision { return c.afterRevision }
 
 // Wait returns how long a Watch or Follow may wait for a change.
 func (c Call) Wait() clock.Millis { return c.wait }
@@ -136,10 +139,11 @@
 
 	listing         []Item       // pages received so far
 	afterKey        string       // last key of the listing
-	listingRevision uint64       // revision of its first page
+	listingRevision Revision     // of its first page
 	listingAsOf     clock.Millis // instant that its first page is dated at
 	listingNumber   int          // tells the pages of listings apart
 	needsListing    bool
+	observedEra     Era                     // latest one that the store or another daemon has shown
 	callStartedAt   clock.Millis            // start of the latest call
 	answeredCall    clock.Millis            // latest start of a call that the store has answered
 	failures        int                     // consecutive failed calls of the store
@@ -212,31 +216,93 @@
 func (r *Reader) Begin(call Call, now, sentAt clock.Millis) Call {
 	r.callStartedAt = now
 	call.startedAt, call.sentAt = now, sentAt
+	call.known, call.era = r.mirror.Revision(), r.mirror.Revision().era
+	if r.observedEra.Compare(call.era) > 0 {
+		call.era = r.observedEra
+	}
 	return call
 }
 
+// Resolve returns the revision of a reply of the store to the call. The store also went back, whatever era
+// it states, if the revision is lower than one that was known when the call began.
+func (c Call) Resolve(revision Revision) Revision {
+	revision = revision.Resolve(c.era)
+	if revision.era == c.known.era && revision.number < c.known.number {
+		revision.era = revision.era.next()
+	}
+	return revision
+}
+
+// stamp returns the items of a reply with the era of the reply.
+func stamp(items []Item, era Era) []Item {
+	for i := range items {
+		items[i].revision.era = era
+	}
+	return items
+}
+
+// ObserveEra records the era of another daemon's mirror. A later one than that of this mirror
+// causes a new listing, unless this daemon follows another one, which lists the store.
+func (r *Reader) ObserveEra(now clock.Millis, era Era) {
+	r.recordEra(era)
+	if _, follows := r.currentSource(now); !follows && era.Compare(r.mirror.Revision().era) > 0 {
+		r.requireListing()
+	}
+}
+
+// recordEra records that an era has begun. A reply to a later call belongs to it at least.
+func (r *Reader) recordEra(era Era) {
+	if era.Compare(r.observedEra) > 0 {
+		r.observedEra = era
+	}
+}
+
+// requireListing begins a new listing unless one is in progress.
+func (r *Reader) requireListing() {
+	if !r.needsListing {
+		r.resetListing()
+		r.needsListing = true
+	}
+}
+
 // HandlePage adds a page of a listing. With the last page, which is one with more
 // unset or without items, it applies the listing and returns the changes. A page that the
-// listing in progress does not wait for is ignored.
-func (r *Reader) HandlePage(call Call, now clock.Millis, items []Item, revision uint64, more bool) []Item {
+// listing in progress does not wait for is ignored. Items and revision have the era that the
+// store states. It modifies items.
+func (r *Reader) HandlePage(call Call, now clock.Millis, items []Item, revision Revision, more bool) []Item {
 	sent := r.recordStoreAnswer(call, now)
-	if !r.needsListing || call.listing != r.listingNumber || call.afterKey != r.afterKey {
+	revision = call.Resolve(revision)
+	items = stamp(items, revision.era)
+	r.recordEra(revision.era)
+	switch {
+	case revision.era.Compare(r.mirror.Revision().era) < 0:
 		return nil
-	}
-	if r.afterKey == "" {
+	case !r.needsListing || call.listing != r.listingNumber || call.afterKey != r.afterKey:
+		if revision.era.Compare(r.mirror.Revision().era) > 0 && r.mirror.Complete() {
+			r.requireListing()
+		}
+		return nil
+	case r.afterKey == "":
 		r.listing, r.listingRevision, r.listingSentAt, r.listingAsOf = nil, revision, call.sentAt, sent
+	case revision.Before(r.listingRevision) || revision.era != r.listingRevision.era:
+		// The store went back between two pages.
+		r.resetListing()
+		return nil
 	}
 	r.listing = append(r.listing, items...)
 	if more && len(items) > 0 {
 		r.afterKey = items[len(items)-1].key
 		return nil
 	}
-	current := r.listingRevision >= r.mirror.Revision()
+	previous := r.mirror.Revision()
 	changes := r.mirror.Replace(now, r.listing, r.listingRevision)
-	if current {
+	if !r.listingRevision.Before(previous) {
 		r.prove(r.listingSentAt)
 	}
 	r.storeAsOf = max(r.storeAsOf, r.listingAsOf)
+	if r.listingRevision.era != previous.era {
+		r.readSince, r.settledAt = now, 0
+	}
 	r.resetListing()
 	r.needsListing = false
 	return changes
@@ -248,11 +314,23 @@
 	r.afterKey, r.listing = "", nil
 }
 
-// HandleEvents applies the reply of a watch and returns the changes.
-func (r *Reader) HandleEvents(call Call, now clock.Millis, events []Item, revision uint64) []Item {
-	r.storeAsOf = max(r.storeAsOf, r.recordStoreAnswer(call, now))
-	current := revision >= r.mirror.Revision()
-	changes := r.mirror.Apply(now, events, revision)
+// HandleEvents applies the reply of a watch and returns the changes. A reply of an earlier
+// era is ignored, and one of a later era causes a new listing. Events and revision have the
+// era that the store states. It modifies events.
+func (r *Reader) HandleEvents(call Call, now clock.Millis, events []Item, revision Revision) []Item {
+	sent := r.recordStoreAnswer(call, now)
+	revision = call.Resolve(revision)
+	r.recordEra(revision.era)
+	switch order := revision.era.Compare(r.mirror.Revision().era); {
+	case order < 0:
+		return nil
+	case order > 0:
+		r.requireListing()
+		return nil
+	}
+	r.storeAsOf = max(r.storeAsOf, sent)
+	current := !revision.Before(r.mirror.Revision())
+	changes := r.mirror.Apply(now, stamp(events, revision.era), revision)
 	if current {
 		r.prove(call.sentAt)
 	}
@@ -292,9 +370,8 @@
 func (r *Reader) RecordFailure(call Call, now clock.Millis, err error) bool {
 	if errors.Is(err, ErrCompacted) {
 		// If the mirror has changed since then, a watch after its revision may succeed.
-		if !r.needsListing && (call.kind == List || call.afterRevision >= r.mirror.Revision()) {
-			r.resetListing()
-			r.needsListing = true
+		if call.kind == List || !call.afterRevision.Before(r.mirror.Revision()) {
+			r.requireListing()
 		}
 		return false
 	}
@@ -333,13 +410,22 @@
 
 // HandlePeerReply applies the reply of a peer and returns the changes. Complete,
 // items and revision are the results of the peer's Mirror.ChangesSince, and age is
-// that of its Reader.Age, by AgeAtArrival. A reply that is older than the mirror is ignored.
+// that of its Reader.Age, by AgeAtArrival. A reply that is older than the mirror is ignored, and
+// so are single changes of a later era.
 func (r *Reader) HandlePeerReply(
-	now clock.Millis, items []Item, complete bool, revision uint64, age clock.Millis,
+	now clock.Millis, items []Item, complete bool, revision Revision, age clock.Millis,
 ) []Item {
-	if revision < r.mirror.Revision() || revision == 0 {
+	mirrored := r.mirror.Revision()
+	if !complete && revision.era.Compare(mirrored.era) > 0 {
+		r.ObserveEra(now, revision.era)
 		return nil
 	}
+	if revision.Before(mirrored) || revision.IsZero() {
+		return nil
+	}
+	if revision.era != mirrored.era {
+		r.readSince, r.settledAt = 0, 0
+	}
 	r.peerAsOf = max(r.peerAsOf, now-age)
 	if complete {
 		return r.mirror.Replace(now, items, revision)
@@ -350,9 +436,9 @@
 // HandleFollowReply applies the reply to a Follow as HandlePeerReply does. A source
 // whose copy is empty or older than maxSourceAge is ejected.
 func (r *Reader) HandleFollowReply(
-	now clock.Millis, peer string, items []Item, complete bool, revision uint64, age clock.Millis,
+	now clock.Millis, peer string, items []Item, complete bool, revision Revision, age clock.Millis,
 ) []Item {
-	if revision == 0 || age > maxSourceAge {
+	if revision.IsZero() || age > maxSourceAge || revision.era.Compare(r.mirror.Revision().era) < 0 {
 		r.RecordSourceFailure(now, peer)
 	} else {
 		r.storeAnsweredAt = max(r.storeAnsweredAt, now-age)
@@ -386,14 +472,14 @@
 // HandleSettledReply handles a reply of a daemon that is settled, after its changes have been
 // applied, and returns the removals that it confirms. The revision is that of the reply and
 // now the instant of its arrival; followed says whether this daemon follows the other one.
-func (r *Reader) HandleSettledReply(now clock.Millis, revision uint64, followed bool) []Item {
-	if revision == 0 || r.mirror.Revision() < revision {
+func (r *Reader) HandleSettledReply(now clock.Millis, revision Revision, followed bool) []Item {
+	if revision.IsZero() || revision.era != r.mirror.Revision().era || r.mirror.Revision().Before(revision) {
 		return nil
 	}
 	if followed {
 		r.settledAt = now
 	}
-	return r.mirror.ConfirmRemovals(revision)
+	return r.mirror.ConfirmRemovals(now, revision)
 }
 
 // Age returns the time since the mirror was last known to be current, or since the
--- /dev/null
+++ b/core/mirror/restore.go
@@ -0,0 +1,159 @@
+package mirror
+
+import (
+	"bytes"
+	"slices"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+)
+
+const (
+	// rewritePeriod is the time after a restore of the store within which operators write
+	// again what it has lost.
+	rewritePeriod = 15 * clock.Second
+	// maxCopyAge is the age of the copy up to which keys that were removed since then are
+	// recognised after a restore.
+	maxCopyAge = clock.Minute
+	// maxRecentRemovals bounds the keys that are recognised.
+	maxRecentRemovals = 4096
+)
+
+// Kind says how the items of a key are written and removed.
+type Kind uint8
+
+// Kinds of keys.
+const (
+	// Durable items stay until they are removed.
+	Durable Kind = iota
+	// Ephemeral items are written all the time, and removed when their writer is silent.
+	Ephemeral
+	// Restriction items are durable, and forbid something while they exist.
+	Restriction
+)
+
+// Sequence orders the values that a key has had. They are compared element by element. The
+// zero value means that the order is unknown.
+type Sequence [2]int64
+
+// Schema describes the items of a store.
+type Schema interface {
+	// Kind returns the kind of a key.
+	Kind(key string) Kind
+	// Sequence returns what the value of an item says of its order.
+	Sequence(item Item) Sequence
+}
+
+// deferredChange is a change of the store that is not in effect yet.
+type deferredChange struct {
+	change Item
+	until  clock.Millis
+	// lapsed means that the key may have lapsed although its writer is alive. Other changes
+	// are deferred because the store was restored from an older copy.
+	lapsed bool
+}
+
+// recentRemoval is a key that was removed at an instant.
+type recentRemoval struct {
+	key string
+	at  clock.Millis
+}
+
+// restore replaces the contents with the first complete listing of a later era, and returns
+// the changes. The copy that the store was restored from lacks the latest changes of the
+// earlier era. As operators and replicas write them again, the known state of a key stays in
+// effect for a time if the listed one may be older.
+func (m *Mirror) restore(now clock.Millis, items []Item, revision Revision) []Item {
+	previous := m.revision
+	m.revision, m.compactedRevision = revision, revision
+	m.tombstones = m.tombstones[:0]
+	m.deferred = nil
+	removed := m.recentlyRemoved(now)
+	listed := make(map[string]bool, len(items))
+	var changes []Item
+	for _, item := range items {
+		listed[item.key] = true
+		known, ok := m.items[item.key]
+		if !ok && removed[item.key] {
+			known, ok = NewRemoval(item.key, previous), true
+		}
+		if ok {
+			if period := m.retention(known, item, previous); period > 0 {
+				m.postpone(deferredChange{change: item, until: now + period})
+				continue
+			}
+		}
+		changes = append(changes, m.put([]Item{item})...)
+	}
+	for key, known := range m.items {
+		if !listed[key] {
+			removal := NewRemoval(key, revision)
+			m.postpone(deferredChange{
+				change: removal, until: now + m.retention(known, removal, previous), lapsed: m.kind(key) == Ephemeral,
+			})
+		}
+	}
+	return changes
+}
+
+// retention returns for how long the known state of a key outlives the listed one after a
+// restore. A removal stands for a missing key. Previous is the revision of the mirror before
+// the restore.
+func (m *Mirror) retention(known, listed Item, previous Revision) clock.Millis {
+	switch {
+	case listed.removed && m.kind(known.key) == Ephemeral:
+		return lapseGracePeriod
+	case listed.removed:
+		return rewritePeriod
+	case listed.revision.number > previous.number:
+		// It was written after what the mirror knows, in either era.
+		return 0
+	case known.removed && m.kind(known.key) == Restriction:
+		return 0
+	case !known.removed && (bytes.Equal(known.value, listed.value) || m.precedes(known, listed)):
+		return 0
+	}
+	return rewritePeriod
+}
+
+func (m *Mirror) kind(key string) Kind {
+	if m.schema == nil {
+		return Durable
+	}
+	return m.schema.Kind(key)
+}
+
+// precedes reports whether the value of a shows that it was written before b.
+func (m *Mirror) precedes(a, b Item) bool {
+	if m.schema == nil {
+		return false
+	}
+	first, second := m.schema.Sequence(a), m.schema.Sequence(b)
+	return first != Sequence{} && second != Sequence{} && slices.Compare(first[:], second[:]) < 0
+}
+
+// postpone defers a change.
+func (m *Mirror) postpone(d deferredChange) {
+	if m.deferred == nil {
+		m.deferred = make(map[string]deferredChange)
+	}
+	m.deferred[d.change.key] = d
+}
+
+// recordRemoval remembers that a key was removed.
+func (m *Mirror) recordRemoval(now clock.Millis, key string) {
+	m.removals = append(m.removals, recentRemoval{key: key, at: now})
+	if len(m.removals) > maxRecentRemovals || now > m.removals[0].at+maxCopyAge {
+		m.removals = m.removals[1:]
+	}
+}
+
+// recentlyRemoved returns the keys that were removed within maxCopyAge.
+func (m *Mirror) recentlyRemoved(now clock.Millis) map[string]bool {
+	keys := make(map[string]bool)
+	for _, removal := range m.removals {
+		if now <= removal.at+maxCopyAge {
+			keys[removal.key] = true
+		}
+	}
+	return keys
+}
--- a/core/mirror/round.go
+++ b/core/mirror/round.go
@@ -56,8 +56,9 @@
 // RecordReply records the reply of a peer after it has been applied: the age of its mirror
 // when it arrived, and whether the peer is settled. The round ends with a mirror that is
 // current, unless removals are held back that it does not confirm.
-func (p *PeerRound) RecordReply(revision uint64, age clock.Millis, settled bool) {
-	if revision > 0 && age <= maxSourceAge && (settled || p.reader.mirror.Held() == 0) {
+func (p *PeerRound) RecordReply(revision Revision, age clock.Millis, settled bool) {
+	known := !revision.IsZero() && revision.era == p.reader.mirror.Revision().era
+	if known && age <= maxSourceAge && (settled || p.reader.mirror.Held() == 0) {
 		p.ended = !p.all
 	}
 }
--- a/core/mirror/round_test.go
+++ b/core/mirror/round_test.go
@@ -34,14 +34,14 @@
 			r := newTestReader(newTestMirror())
 			if c.held {
 				r.RecordFailure(Call{}, 10, ErrUnavailable)
-				r.mirror.Apply(11, []Item{NewRemoval("a", 5)}, 5)
+				r.mirror.Apply(11, []Item{NewRemoval("a", revisionAt(5))}, revisionAt(5))
 			}
 			round, due := r.StartPeerRound(clock.Minute, 0)
 			require.True(t, due)
 			asked := 0
 			for ; round.Next(); asked++ {
 				if asked < len(c.replies) {
-					round.RecordReply(c.replies[asked].revision, c.replies[asked].age, c.replies[asked].settled)
+					round.RecordReply(revisionAt(c.replies[asked].revision), c.replies[asked].age, c.replies[asked].settled)
 				}
 			}
 			assert.Equal(t, c.asked, asked)
@@ -58,8 +58,8 @@
 	require.True(t, due)
 	asked := 0
 	for ; round.Next(); asked++ {
-		r.HandlePeerReply(10, []Item{item("a", 3)}, true, 3, 0)
-		round.RecordReply(3, 0, true)
+		r.HandlePeerReply(10, []Item{item("a", 3)}, true, revisionAt(3), 0)
+		round.RecordReply(revisionAt(3), 0, true)
 	}
 	assert.Equal(t, maxRoundPeers, asked)
 
--- a/core/mirror/simulation_test.go
+++ b/core/mirror/simulation_test.go
@@ -88,7 +88,7 @@
 	revision = uint64(len(s.commits) - 1)
 	for n := max(after+1, revision-min(revision, 3)); n <= revision; n++ {
 		if key := fmt.Sprint(n % 4); s.removals[n] {
-			changes = append(changes, NewRemoval(key, n))
+			changes = append(changes, NewRemoval(key, revisionAt(n)))
 		} else {
 			changes = append(changes, item(key, n))
 		}
@@ -177,7 +177,7 @@
 }
 
 func (s *simulation) answerFromStore(d *simulatedDaemon, c *simulatedCall) {
-	changes, revision := s.storeChanges(c.call.AfterRevision())
+	changes, revision := s.storeChanges(c.call.AfterRevision().Number())
 	switch {
 	case c.call.Kind() == List:
 		var page []Item
@@ -189,11 +189,11 @@
 		slices.SortFunc(page, func(a, b Item) int { return cmp.Compare(a.Key(), b.Key()) })
 		more := len(page) > 2
 		page = page[:min(2, len(page))]
-		c.answer(s.now, s.delay(), func(now clock.Millis) { d.reader.HandlePage(c.call, now, page, revision, more) })
-	case revision > c.call.AfterRevision() && s.random.Float64() < s.faults/10:
+		c.answer(s.now, s.delay(), func(now clock.Millis) { d.reader.HandlePage(c.call, now, page, revisionAt(revision), more) })
+	case revision > c.call.AfterRevision().Number() && s.random.Float64() < s.faults/10:
 		c.answer(s.now, s.delay(), func(now clock.Millis) { d.reader.RecordFailure(c.call, now, ErrCompacted) })
-	case revision > c.call.AfterRevision() || s.now >= c.arrivesAt+c.call.Wait():
-		c.answer(s.now, s.delay(), func(now clock.Millis) { d.reader.HandleEvents(c.call, now, changes, revision) })
+	case revision > c.call.AfterRevision().Number() || s.now >= c.arrivesAt+c.call.Wait():
+		c.answer(s.now, s.delay(), func(now clock.Millis) { d.reader.HandleEvents(c.call, now, changes, revisionAt(revision)) })
 	}
 }
 
@@ -262,8 +262,8 @@
 func (s *simulation) lacks(d *simulatedDaemon, revision uint64) bool {
 	key := fmt.Sprint(revision % 4)
 	held, listed := d.mirror.Get(key)
-	if _, lapsed := d.mirror.held[key]; listed && !lapsed {
-		return held.Revision() < revision
+	if _, lapsed := d.mirror.deferred[key]; listed && !lapsed {
+		return held.Revision().Number() < revision
 	}
 	for n := revision; n < uint64(len(s.commits)); n += 4 {
 		if s.removals[n] {
--- a/entry/gateway/drain_test.go
+++ b/entry/gateway/drain_test.go
@@ -32,7 +32,7 @@
 	table, err := route.NewTable(1, []*route.Route{r}, []route.Service{route.NewService("s", 10, 0)}, route.Limits{})
 	require.NoError(o.t, err)
 	entry := replica.NewEntry(replica.Spec{
-		ID: "i", Service: "s", Address: o.address, DataCentre: "x", Slots: 4, Draining: item.Revision() > 1,
+		ID: "i", Service: "s", Address: o.address, DataCentre: "x", Slots: 4, Draining: item.Revision().Number() > 1,
 	})
 	return []routing.StoreUpdate{{Table: table}, {Replica: &entry}}
 }
@@ -65,9 +65,9 @@
 			begin := func() mirror.Call {
 				return s.reader.Begin(s.reader.Next(s.now()), s.now(), s.suspendingNow())
 			}
-			s.applyChanges(s.reader.HandlePage(begin(), s.now(), []mirror.Item{mirror.NewItem("a", nil, 1)}, 1, false))
+			s.applyChanges(s.reader.HandlePage(begin(), s.now(), []mirror.Item{mirror.NewItem("a", nil, revisionAt(1))}, revisionAt(1), false))
 			time.Sleep(c.delay)
-			s.applyChanges(s.reader.HandleEvents(begin(), s.now(), []mirror.Item{mirror.NewItem("a", nil, 2)}, 2))
+			s.applyChanges(s.reader.HandleEvents(begin(), s.now(), []mirror.Item{mirror.NewItem("a", nil, revisionAt(2))}, revisionAt(2)))
 			matched, _ := s.gateway.engine.MatchRoute("h", "/")
 			require.NotNil(t, matched)
 			s.gateway.engine.Serve(t.Context(), matched, routing.Request{ID: "q", Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
--- a/entry/gateway/first_copy_test.go
+++ b/entry/gateway/first_copy_test.go
@@ -53,7 +53,7 @@
 			s := newTestGateway(t).mirrorSyncer
 			s.runPeerRound(t.Context(), startPeerRound(t, s), peers)
 			require.True(t, s.mirror.Complete())
-			assert.EqualValues(t, 9, s.mirror.Revision())
+			assert.Equal(t, revisionAt(9), s.mirror.Revision())
 			_, listed := s.mirror.Get("servers/left")
 			assert.False(t, listed, "the replica has left")
 			_, listed = s.mirror.Get("servers/stays")
@@ -74,7 +74,7 @@
 // are outdated or do not reply are asked before one that is current.
 func TestOutdatedPeersDoNotDelayChanges(t *testing.T) {
 	s := newTestGateway(t).mirrorSyncer
-	s.applyChanges(s.reader.HandlePage(mirror.Call{}, s.now(), []mirror.Item{mirror.NewItem("servers/left", nil, 3)}, 3, false))
+	s.applyChanges(s.reader.HandlePage(mirror.Call{}, s.now(), []mirror.Item{mirror.NewItem("servers/left", nil, revisionAt(3))}, revisionAt(3), false))
 	silent, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer silent.Close()
@@ -87,7 +87,7 @@
 	assert.Eventually(t, func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return s.mirror.Revision() == 9
+		return s.mirror.Revision().Number() == 9
 	}, mirrorTimeout, 10*time.Millisecond, "before the silent peer is given up")
 	cancel()
 	running.Wait()
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -70,12 +70,11 @@
 }
 
 // Page is a page of a listing of the store, or a batch of its changes. More
-// reports whether further pages of the listing follow. Era counts how often the store
-// has been restored from an older copy; 0 if it does not say.
+// reports whether further pages of the listing follow. The items and the revision have the
+// era that the store states.
 type Page struct {
 	Items    []mirror.Item
-	Era      uint64
-	Revision uint64
+	Revision mirror.Revision
 	More     bool
 }
 
@@ -121,7 +120,8 @@
 type Dependencies struct {
 	Store       Store
 	Interpreter Interpreter
-	Releases    ReleaseCodec // nil disables releases
+	Schema      mirror.Schema // of the items of the store; nil makes all of them durable
+	Releases    ReleaseCodec  // nil disables releases
 	Log         logr.Logger
 	Clock       clock.Clock
 	// SuspendingClock also counts the time during which the machine is suspended. The zero
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -29,7 +29,10 @@
 	reached, age, calls := g.mirrorSyncer.storeMetrics()
 	set("store.reached", reached)
 	set("store.age-ms", age)
-	set("store.era", g.mirrorSyncer.latestEra())
+	stated, inferred, retained := g.mirrorSyncer.restoreMetrics()
+	set("store.era", stated)
+	set("store.inferred-restores", inferred)
+	set("store.retained-keys", retained)
 	set("store.held-removals", g.mirrorSyncer.heldRemovals())
 	for name, count := range calls {
 		set("store.calls."+name, count)
--- a/entry/gateway/mirror_peer.go
+++ b/entry/gateway/mirror_peer.go
@@ -94,8 +94,28 @@
 	Observations  []wireObservation `cbor:"4,keyasint,omitempty"`
 	// ProofAgeMs is the age of the sender's proof, or 0 if its configuration has no tenants.
 	ProofAgeMs float64 `cbor:"5,keyasint,omitempty"`
+	// Era is that of AfterRevision.
+	Era wireEra `cbor:"6,keyasint,omitzero"`
 }
 
+// after returns the revision after which the sender wants changes.
+func (r mirrorRequest) after() mirror.Revision {
+	return mirror.NewRevision(r.Era.era(), r.AfterRevision)
+}
+
+// wireEra is an era of the store as it is sent between daemons. The fields are those of
+// mirror.Era.
+type wireEra struct {
+	Stated   uint64 `cbor:"1,keyasint,omitempty"`
+	Inferred uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+func newWireEra(era mirror.Era) wireEra {
+	return wireEra{Stated: era.Stated(), Inferred: era.Inferred()}
+}
+
+func (w wireEra) era() mirror.Era { return mirror.NewEra(w.Stated, w.Inferred) }
+
 // mirrorReply is the changes of a daemon's mirror after a revision. AgeMs is the time
 // since the mirror was last up to date with the store.
 type mirrorReply struct {
@@ -109,6 +129,16 @@
 	Proof *wireProof `cbor:"6,keyasint,omitempty"`
 	// Settled means that removals up to Revision need not be held back; see mirror.Reader.
 	Settled bool `cbor:"7,keyasint,omitempty"`
+	// Era is that of Revision and of the items.
+	Era wireEra `cbor:"8,keyasint,omitzero"`
+}
+
+// revision returns the revision of the mirror, zero if there is none.
+func (r mirrorReply) revision() mirror.Revision {
+	if r.Revision == 0 {
+		return mirror.Revision{}
+	}
+	return mirror.NewRevision(r.Era.era(), r.Revision)
 }
 
 // wireProof is a proof of freshness as it is sent between daemons. The fields are those
@@ -121,10 +151,11 @@
 func (r mirrorReply) items() []mirror.Item {
 	items := make([]mirror.Item, len(r.Items))
 	for i, item := range r.Items {
+		revision := mirror.NewRevision(r.Era.era(), item.Revision)
 		if item.Removed {
-			items[i] = mirror.NewRemoval(item.Key, item.Revision)
+			items[i] = mirror.NewRemoval(item.Key, revision)
 		} else {
-			items[i] = mirror.NewItem(item.Key, item.Value, item.Revision)
+			items[i] = mirror.NewItem(item.Key, item.Value, revision)
 		}
 	}
 	return items
--- a/entry/gateway/mirror_peer_test.go
+++ b/entry/gateway/mirror_peer_test.go
@@ -24,10 +24,10 @@
 	var items []mirror.Item
 	for i := range 300 {
 		value := fmt.Sprintf(`{"service":"search","address":"10.128.%d.%d:8080","dataCentre":"ikeja","release":"v1","slots":2,"state":"serving","coldFor":0,"beat":%d}`, i/250, i%250, i)
-		items = append(items, mirror.NewItem(fmt.Sprintf("replicas/i-%08x", i*7919), []byte(value), uint64(i+1)))
+		items = append(items, mirror.NewItem(fmt.Sprintf("replicas/i-%08x", i*7919), []byte(value), revisionAt(uint64(i+1))))
 	}
 	g.mirrorSyncer.mu.Lock()
-	g.mirrorSyncer.applyChanges(g.mirrorSyncer.reader.HandlePage(mirror.Call{}, g.mirrorSyncer.now(), items, 300, false))
+	g.mirrorSyncer.applyChanges(g.mirrorSyncer.reader.HandlePage(mirror.Call{}, g.mirrorSyncer.now(), items, revisionAt(300), false))
 	g.mirrorSyncer.mu.Unlock()
 	server := httptest.NewServer(g.peerHandler())
 	defer server.Close()
--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -47,7 +47,6 @@
 	observations replica.ObservationMerger
 	callCounts   map[string]int64 // by kind of call and outcome
 	outdatedFrom clock.Millis     // when the mirror was last current before it became outdated; 0 while it is not
-	storeEra     uint64           // latest one that the store has stated to this daemon
 }
 
 func newMirrorSyncer(g *Gateway) *mirrorSyncer {
@@ -56,6 +55,7 @@
 		random:  deriveGenerator(g.dependencies.Random),
 		changed: make(chan struct{}), callCounts: make(map[string]int64),
 	}
+	s.mirror.SetSchema(g.dependencies.Schema)
 	s.reader = mirror.NewReader(g.startedAt, &s.mirror, deriveGenerator(g.dependencies.Random))
 	s.reader.SetMaxProofAge(g.config.MaxProofAge)
 	return s
@@ -155,7 +155,7 @@
 	if call.Kind() == mirror.List {
 		page, err = s.store.List(ctx, s.gateway.config.StorePrefix, call.AfterKey())
 	} else {
-		page, err = s.store.Watch(ctx, s.gateway.config.StorePrefix, call.AfterRevision(), call.Wait())
+		page, err = s.store.Watch(ctx, s.gateway.config.StorePrefix, call.AfterRevision().Number(), call.Wait())
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -206,9 +206,8 @@
 // handlePage applies the reply to a call of the store. The caller holds the lock.
 func (s *mirrorSyncer) handlePage(call *storeCall, now clock.Millis, page Page) {
 	if !s.reader.StoreReachable() {
-		s.log.Info("store reached", "revision", page.Revision)
+		s.log.Info("store reached", "revision", page.Revision.String())
 	}
-	s.recordEra(page)
 	age := s.reader.Age(now)
 	mirrored := s.mirror.Revision()
 	var changes []mirror.Item
@@ -217,11 +216,11 @@
 	} else {
 		changes = s.reader.HandleEvents(call.Call, now, page.Items, page.Revision)
 	}
-	s.recordOutdated(call.Kind().String(), page.Era, mirrored, page.Revision, changes)
-	if call.Kind() == mirror.Watch && len(page.Items) == 0 && page.Revision > call.AfterRevision() {
+	s.recordReply(call.Kind().String(), "", mirrored, call.Resolve(page.Revision), changes)
+	if call.Kind() == mirror.Watch && len(page.Items) == 0 && page.Revision.Number() > call.AfterRevision().Number() {
 		// All keys of a store may be mirrored, so such a reply may lack changes.
 		s.callCounts["watch.skipped"]++
-		s.log.V(1).Info("watch without changes has a later revision", "after", call.AfterRevision(), "revision", page.Revision)
+		s.log.V(1).Info("watch without changes has a later revision", "after", call.AfterRevision().String(), "revision", page.Revision.String())
 	}
 	s.logChanges(call.Kind().String(), "", now-call.began, age, changes)
 	s.applyChanges(changes)
@@ -233,7 +232,7 @@
 func (s *mirrorSyncer) logChanges(kind, peer string, took, age clock.Millis, changes []mirror.Item) {
 	if len(changes) > 0 && max(took, age) >= outdatedAge/2 {
 		s.log.V(1).Info("delayed changes", "kind", kind, "peer", peer, "took", took, "age", age,
-			"changes", len(changes), "revision", s.mirror.Revision(), "held", s.mirror.Held())
+			"changes", len(changes), "revision", s.mirror.Revision().String(), "held", s.mirror.Held())
 	}
 }
 
@@ -244,10 +243,10 @@
 	switch {
 	case age >= outdatedAge && s.outdatedFrom == 0:
 		s.outdatedFrom = now - age
-		s.log.Info("store data is outdated", "age", age, "revision", s.mirror.Revision(), "reachable", s.reader.StoreReachable(),
+		s.log.Info("store data is outdated", "age", age, "revision", s.mirror.Revision().String(), "reachable", s.reader.StoreReachable(),
 			"calls", s.callCounts)
 	case age < outdatedAge && s.outdatedFrom != 0:
-		s.log.Info("store data is current", "lasted", now-s.outdatedFrom, "revision", s.mirror.Revision())
+		s.log.Info("store data is current", "lasted", now-s.outdatedFrom, "revision", s.mirror.Revision().String())
 		s.outdatedFrom = 0
 	}
 }
@@ -260,7 +259,7 @@
 // the lock.
 func (s *mirrorSyncer) applySettled(now clock.Millis, reply mirrorReply, followed bool) {
 	if reply.Settled {
-		s.applyHeld(s.reader.HandleSettledReply(now, reply.Revision, followed), "confirmed by a peer")
+		s.applyHeld(s.reader.HandleSettledReply(now, reply.revision(), followed), "confirmed by a peer")
 	}
 }
 
@@ -273,23 +272,19 @@
 	s.applyChanges(removals)
 }
 
-// recordEra logs that the store states another era than before. The caller holds the lock.
-func (s *mirrorSyncer) recordEra(page Page) {
-	if page.Era != 0 && page.Era != s.storeEra {
-		s.log.Info("store era changed", "era", page.Era, "before", s.storeEra, "revision", page.Revision, "mirrored", s.mirror.Revision())
-		s.storeEra = page.Era
+// recordReply counts and logs a reply that is older than the mirror was when it arrived, with
+// the number of changes that it made, and logs when the mirror passes to another era. A peer
+// without a copy replies with the zero revision. The caller holds the lock.
+func (s *mirrorSyncer) recordReply(kind, peer string, mirrored, revision mirror.Revision, changes []mirror.Item) {
+	if !revision.IsZero() && revision.Before(mirrored) {
+		s.callCounts[kind+".outdated"]++
+		s.log.V(1).Info("outdated reply", "kind", kind, "peer", peer, "revision", revision.String(), "mirrored", mirrored.String(),
+			"changes", len(changes))
 	}
-}
-
-// recordOutdated counts and logs a reply that is older than the mirror was when it
-// arrived, with the number of changes that it made. A peer without a copy replies with
-// revision 0; the era of a peer's reply is 0. The caller holds the lock.
-func (s *mirrorSyncer) recordOutdated(kind string, era, mirrored, revision uint64, changes []mirror.Item) {
-	if revision == 0 || revision >= mirrored {
-		return
+	if now := s.mirror.Revision(); now.Era() != mirrored.Era() && !mirrored.IsZero() {
+		s.log.Info("store was restored from an older copy", "kind", kind, "peer", peer, "revision", now.String(), "mirrored", mirrored.String(),
+			"changes", len(changes), "retained", s.mirror.Retained(), "held", s.mirror.Held())
 	}
-	s.callCounts[kind+".outdated"]++
-	s.log.V(1).Info("outdated reply", "kind", kind, "era", era, "revision", revision, "mirrored", mirrored, "changes", len(changes))
 }
 
 // setSources sets the peers that may be followed. It must not take the lock: the
@@ -301,7 +296,8 @@
 // of replicas with it.
 func (s *mirrorSyncer) followPeer(ctx context.Context, call mirror.Call) {
 	request := mirrorRequest{
-		Sender: s.gateway.config.PeerAddress, AfterRevision: call.AfterRevision(), WaitMs: float64(call.Wait()),
+		Sender: s.gateway.config.PeerAddress, WaitMs: float64(call.Wait()),
+		AfterRevision: call.AfterRevision().Number(), Era: newWireEra(call.AfterRevision().Era()),
 		Observations: encodeObservations(s.gateway.engine.Observations()),
 	}
 	sentAt := s.suspendingNow()
@@ -323,9 +319,9 @@
 	}
 	age := s.reader.Age(now)
 	mirrored := s.mirror.Revision()
-	changes := s.reader.HandleFollowReply(now, call.Peer(), reply.items(), reply.Complete, reply.Revision,
+	changes := s.reader.HandleFollowReply(now, call.Peer(), reply.items(), reply.Complete, reply.revision(),
 		mirror.AgeAtArrival(clock.Millis(reply.AgeMs), now-began, call.Wait()))
-	s.recordOutdated(call.Kind().String(), 0, mirrored, reply.Revision, changes)
+	s.recordReply(call.Kind().String(), call.Peer(), mirrored, reply.revision(), changes)
 	s.handleProof(sentAt, reply)
 	s.logChanges(call.Kind().String(), call.Peer(), now-began, age, changes)
 	s.applyChanges(changes)
@@ -338,7 +334,7 @@
 // instant. The caller holds the lock, and has applied the reply to the mirror.
 func (s *mirrorSyncer) handleProof(sentAt clock.Millis, reply mirrorReply) {
 	if reply.Proof != nil {
-		s.reader.HandlePeerProof(sentAt, s.suspendingNow(), reply.Revision,
+		s.reader.HandlePeerProof(sentAt, s.suspendingNow(), reply.revision(),
 			mirror.PeerProof{Age: clock.Millis(reply.Proof.AgeMs), Held: clock.Millis(reply.Proof.HeldMs)})
 	}
 }
@@ -399,11 +395,13 @@
 	s.callCounts[kind]++
 }
 
-// latestEra returns the latest era that the store has stated, or 0.
-func (s *mirrorSyncer) latestEra() int64 {
+// restoreMetrics returns the era that the store states, the number of later restores that
+// were inferred, and the number of keys that still differ from the restored store.
+func (s *mirrorSyncer) restoreMetrics() (stated, inferred, retained int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return int64(s.storeEra)
+	era := s.mirror.Revision().Era()
+	return int64(era.Stated()), int64(era.Inferred()), int64(s.mirror.Retained())
 }
 
 // storeMetrics returns 1 or 0 for whether the store is reachable, the age of the
@@ -507,12 +505,12 @@
 	s.mu.Lock()
 	after := s.mirror.Revision()
 	if !s.mirror.Complete() {
-		after = 0
+		after = mirror.Revision{}
 	}
 	s.mu.Unlock()
 	began, sentAt := s.now(), s.suspendingNow()
 	reply, err := fetchMirror(ctx, s.gateway.config.Key, peer,
-		mirrorRequest{Sender: s.gateway.config.PeerAddress, AfterRevision: after})
+		mirrorRequest{Sender: s.gateway.config.PeerAddress, AfterRevision: after.Number(), Era: newWireEra(after.Era())})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -526,13 +524,13 @@
 	age := s.reader.Age(now)
 	mirrored := s.mirror.Revision()
 	peerAge := mirror.AgeAtArrival(clock.Millis(reply.AgeMs), now-began, 0)
-	changes := s.reader.HandlePeerReply(now, reply.items(), reply.Complete, reply.Revision, peerAge)
-	s.recordOutdated("peer", 0, mirrored, reply.Revision, changes)
+	changes := s.reader.HandlePeerReply(now, reply.items(), reply.Complete, reply.revision(), peerAge)
+	s.recordReply("peer", peer, mirrored, reply.revision(), changes)
 	s.handleProof(sentAt, reply)
 	s.logChanges("peer", peer, now-began, age, changes)
 	s.applyChanges(changes)
 	s.applySettled(now, reply, false)
-	round.RecordReply(reply.Revision, peerAge, reply.Settled)
+	round.RecordReply(reply.revision(), peerAge, reply.Settled)
 }
 
 // waitForChanges returns the changes that a follower does not have yet. If there are
@@ -547,7 +545,7 @@
 		changed := s.changed
 		s.mu.Unlock()
 		reply, newerProof := s.changesFor(request, arrivedAt)
-		if request.WaitMs <= 0 || reply.Revision == 0 || len(reply.Items) > 0 || newerProof {
+		if request.WaitMs <= 0 || reply.Revision == 0 || len(reply.Items) > 0 || newerProof || reply.Era != request.Era {
 			return reply
 		}
 		select {
@@ -565,9 +563,10 @@
 const maxFollowWait = 5 * clock.Second
 
 // recordObservations merges the observations of a follower with those of the others,
-// and applies what they confirm.
+// and applies what they confirm. It also takes note of the follower's era.
 func (s *mirrorSyncer) recordObservations(request mirrorRequest) {
 	s.mu.Lock()
+	s.reader.ObserveEra(s.now(), request.Era.era())
 	s.observations.Record(s.now(), request.Sender, decodeObservations(request.Observations))
 	confirmed := s.observationsFor(s.gateway.config.PeerAddress)
 	s.mu.Unlock()
@@ -593,14 +592,14 @@
 	if !s.mirror.Complete() {
 		return mirrorReply{}, false
 	}
-	items, complete, revision := s.mirror.ChangesSince(request.AfterRevision)
+	items, complete, revision := s.mirror.ChangesSince(request.after())
 	reply = mirrorReply{
-		Complete: complete, Revision: revision, AgeMs: float64(s.reader.Age(s.now())),
+		Complete: complete, Revision: revision.Number(), Era: newWireEra(revision.Era()), AgeMs: float64(s.reader.Age(s.now())),
 		Observations: encodeObservations(s.observationsFor(request.Sender)), Settled: s.reader.Settled(s.now()),
 	}
 	for _, item := range items {
 		reply.Items = append(reply.Items, wireItem{
-			Key: item.Key(), Value: item.Value(), Revision: item.Revision(), Removed: item.Removed(),
+			Key: item.Key(), Value: item.Value(), Revision: item.Revision().Number(), Removed: item.Removed(),
 		})
 	}
 	if !s.gateway.engine.HasTenants() {
--- a/entry/gateway/mirror_syncer_test.go
+++ b/entry/gateway/mirror_syncer_test.go
@@ -19,6 +19,9 @@
 	"github.com/lovagegap/lovagegap/entry/telemetry"
 )
 
+// revisionAt returns the revision with a number in an era that the store does not state.
+func revisionAt(number uint64) mirror.Revision { return mirror.NewRevision(mirror.Era{}, number) }
+
 // noUpdates is an Interpreter that ignores all items.
 type noUpdates struct{}
 
@@ -64,7 +67,7 @@
 		g.mirrorSyncer.setSources([]string{"10.0.0.1:1"})
 	})
 	requireEndsSoon(t, "applyChanges waits for its own lock", func() {
-		g.mirrorSyncer.applyChanges([]mirror.Item{mirror.NewItem("daemons/10.0.0.1:1", nil, 4)})
+		g.mirrorSyncer.applyChanges([]mirror.Item{mirror.NewItem("daemons/10.0.0.1:1", nil, revisionAt(4))})
 	})
 	g.mirrorSyncer.mu.Unlock()
 }
@@ -74,7 +77,7 @@
 func TestFollowerIsNotifiedOfChangeImmediately(t *testing.T) {
 	g := newTestGateway(t)
 	g.mirrorSyncer.mu.Lock()
-	g.mirrorSyncer.applyChanges(g.mirrorSyncer.reader.HandlePage(mirror.Call{}, g.mirrorSyncer.now(), []mirror.Item{mirror.NewItem("a", nil, 3)}, 3, false))
+	g.mirrorSyncer.applyChanges(g.mirrorSyncer.reader.HandlePage(mirror.Call{}, g.mirrorSyncer.now(), []mirror.Item{mirror.NewItem("a", nil, revisionAt(3))}, revisionAt(3), false))
 	g.mirrorSyncer.mu.Unlock()
 	reply := make(chan mirrorReply, 1)
 	go func() {
@@ -82,7 +85,7 @@
 	}()
 	time.Sleep(50 * time.Millisecond)
 	g.mirrorSyncer.mu.Lock()
-	g.mirrorSyncer.applyChanges(g.mirrorSyncer.reader.HandleEvents(mirror.Call{}, g.mirrorSyncer.now(), []mirror.Item{mirror.NewItem("b", nil, 4)}, 4))
+	g.mirrorSyncer.applyChanges(g.mirrorSyncer.reader.HandleEvents(mirror.Call{}, g.mirrorSyncer.now(), []mirror.Item{mirror.NewItem("b", nil, revisionAt(4))}, revisionAt(4)))
 	g.mirrorSyncer.mu.Unlock()
 	select {
 	case r := <-reply:
@@ -116,10 +119,10 @@
 func TestDelayedWatchDoesNotListReplicaThatLeft(t *testing.T) {
 	s := newTestGateway(t).mirrorSyncer
 	s.applyChanges(s.reader.HandlePage(mirror.Call{}, s.now(), []mirror.Item{
-		mirror.NewItem("servers/left", nil, 3), mirror.NewItem("servers/stays", nil, 4),
-	}, 4, false))
+		mirror.NewItem("servers/left", nil, revisionAt(3)), mirror.NewItem("servers/stays", nil, revisionAt(4)),
+	}, revisionAt(4), false))
 	store := delayedWatch{
-		page:   Page{Items: []mirror.Item{mirror.NewItem("servers/left", nil, 5)}, Revision: 6},
+		page:   Page{Items: []mirror.Item{mirror.NewItem("servers/left", nil, revisionAt(5))}, Revision: revisionAt(6)},
 		called: make(chan struct{}), sent: make(chan struct{}),
 	}
 	s.store = store
@@ -133,7 +136,7 @@
 	reading.Wait()
 	_, listed := s.mirror.Get("servers/left")
 	assert.False(t, listed)
-	assert.EqualValues(t, 9, s.mirror.Revision())
+	assert.Equal(t, revisionAt(9), s.mirror.Revision())
 	_, _, calls := s.storeMetrics()
 	assert.EqualValues(t, 1, calls["watch.outdated"])
 }
@@ -154,7 +157,7 @@
 type tenantTable struct{ t *testing.T }
 
 func (i tenantTable) Updates(item mirror.Item) []routing.StoreUpdate {
-	table, err := route.NewTable(item.Revision(), nil, nil, route.Limits{})
+	table, err := route.NewTable(item.Revision().Number(), nil, nil, route.Limits{})
 	require.NoError(i.t, err)
 	table, err = table.WithTenants(route.NewKeyHasher(nil), []route.TenantKeys{{Tenant: route.NewTenant("a", 0, 0, 0), Keys: []string{"k"}}})
 	require.NoError(i.t, err)
@@ -171,7 +174,7 @@
 			s := newTestGateway(t).mirrorSyncer
 			s.gateway.dependencies.Interpreter, s.gateway.dependencies.SuspendingClock = interpreter, manual.Clock()
 			call := s.reader.Begin(s.reader.Next(s.now()), s.now(), s.suspendingNow())
-			s.applyChanges(s.reader.HandlePage(call, s.now(), []mirror.Item{mirror.NewItem("a", nil, 3)}, 3, false))
+			s.applyChanges(s.reader.HandlePage(call, s.now(), []mirror.Item{mirror.NewItem("a", nil, revisionAt(3))}, revisionAt(3), false))
 			manual.Advance(1000)
 			request := mirrorRequest{Sender: "b", AfterRevision: 3, WaitMs: 300}
 			if s.gateway.engine.HasTenants() {
@@ -188,7 +191,7 @@
 			s.mu.Lock()
 			call = s.reader.Begin(s.reader.Next(s.now()), s.now(), s.suspendingNow())
 			manual.Advance(50)
-			s.applyChanges(s.reader.HandleEvents(call, s.now(), nil, 3))
+			s.applyChanges(s.reader.HandleEvents(call, s.now(), nil, revisionAt(3)))
 			s.mu.Unlock()
 			got := <-reply
 			if !s.gateway.engine.HasTenants() {
@@ -216,11 +219,11 @@
 }
 
 func (s slowStore) List(ctx context.Context, _, _ string) (Page, error) {
-	return s.reply(ctx, Page{Items: []mirror.Item{mirror.NewItem("a", nil, 3)}, Revision: 3})
+	return s.reply(ctx, Page{Items: []mirror.Item{mirror.NewItem("a", nil, revisionAt(3))}, Revision: revisionAt(3)})
 }
 
 func (s slowStore) Watch(ctx context.Context, _ string, after uint64, _ clock.Millis) (Page, error) {
-	return s.reply(ctx, Page{Items: []mirror.Item{mirror.NewItem("a", nil, after+1)}, Revision: after + 1})
+	return s.reply(ctx, Page{Items: []mirror.Item{mirror.NewItem("a", nil, revisionAt(after+1))}, Revision: revisionAt(after + 1)})
 }
 
 func (slowStore) Put(context.Context, string, []byte) error { return nil }
@@ -236,7 +239,7 @@
 	assert.Eventually(t, func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return s.mirror.Revision() > 3
+		return s.mirror.Revision().Number() > 3
 	}, 10*time.Second, 20*time.Millisecond)
 	cancel()
 	requireEndsSoon(t, "a call stays open after the stop", running.Wait)
