gateway: daemons register again after the store was restored

Callers: after all daemons restart, or with daemons that start without seeds, daemons that the store has forgotten are not found by the others, until they restart themselves.

Each daemon registered once in its lifetime.

Change: in a new era a daemon registers again if the store lacks its registration, within 3 s at a random instant, so that not all of them write at a time.

--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -35,14 +35,14 @@
 	store   Store
 	random  *rand.Rand
 
-	sources atomic.Pointer[[]string] // peers that may be followed
-	calls   sync.WaitGroup           // calls of the store that are open
+	sources      atomic.Pointer[[]string] // peers that may be followed
+	calls        sync.WaitGroup           // calls of the store that are open
+	registration registration             // used only by the goroutine of run
 
 	mu           sync.Mutex
 	mirror       mirror.Mirror
 	reader       *mirror.Reader
 	configured   bool          // whether Gateway.configured is closed
-	registered   bool          // used only by the goroutine of run
 	changed      chan struct{} // closed when the mirror changes
 	observations replica.ObservationMerger
 	callCounts   map[string]int64 // by kind of call and outcome
@@ -57,6 +57,7 @@
 	}
 	s.mirror.SetSchema(g.dependencies.Schema)
 	s.reader = mirror.NewReader(g.startedAt, &s.mirror, deriveGenerator(g.dependencies.Random))
+	s.registration.random = deriveGenerator(g.dependencies.Random)
 	s.reader.SetMaxProofAge(g.config.MaxProofAge)
 	return s
 }
@@ -422,29 +423,50 @@
 	return int64(s.mirror.Held())
 }
 
+// registration is the state of this daemon's registration in the store.
+type registration struct {
+	random *rand.Rand
+	done   bool
+	era    mirror.Era   // in which it was done
+	dueAt  clock.Millis // again after a restore of the store
+}
+
+// reregistrationSpread is the time over which the daemons register again after a restore.
+const reregistrationSpread = 3 * clock.Second
+
+// due reports whether to register now. Stored says whether the store has the registration in
+// an era.
+func (r *registration) due(now clock.Millis, era mirror.Era, stored bool) bool {
+	if r.done && r.era != era {
+		r.dueAt = now + reregistrationSpread*clock.Millis(r.random.Float64())
+		r.done = false
+	}
+	r.era = era
+	if stored {
+		r.done = true
+	}
+	return !r.done && now >= r.dueAt
+}
+
 // register writes this daemon's address to the store, unless it is listed there, so
-// that daemons find each other without seeds. It succeeds once, and is tried again
-// after each read until then.
+// that daemons find each other without seeds. It succeeds once in each era, and is tried
+// again after each read until then.
 func (s *mirrorSyncer) register(ctx context.Context) {
 	registry := s.gateway.config.RegistryPrefix
-	if s.registered || registry == "" {
+	if registry == "" {
 		return
 	}
 	s.mu.Lock()
-	complete := s.mirror.Complete()
-	_, listed := s.mirror.Get(registry + s.gateway.config.PeerAddress)
+	due := s.mirror.Complete() &&
+		s.registration.due(s.now(), s.mirror.Revision().Era(), s.mirror.Stored(registry+s.gateway.config.PeerAddress))
 	s.mu.Unlock()
-	if !complete {
+	if !due {
 		return
 	}
-	if !listed {
-		ctx, cancel := context.WithTimeout(ctx, time.Second)
-		defer cancel()
-		if err := s.store.Put(ctx, registry+s.gateway.config.PeerAddress, []byte(s.gateway.config.DataCentre)); err != nil {
-			return
-		}
-	}
-	s.registered = true
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	err := s.store.Put(ctx, registry+s.gateway.config.PeerAddress, []byte(s.gateway.config.DataCentre))
+	s.registration.done = err == nil
 }
 
 // pollPeers requests changes from random peers while the store is unreachable for
