--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -252,7 +252,7 @@
 	}
 }
 
-// applyExpired applies the removals that have been held back for long enough. The caller
+// applyExpired applies the changes that have been held back for long enough. The caller
 // holds the lock.
 func (s *mirrorSyncer) applyExpired(now clock.Millis) { s.applyHeld(s.mirror.Expire(now), "expired") }
 
@@ -264,13 +264,13 @@
 	}
 }
 
-// applyHeld applies removals that were held back. The caller holds the lock.
-func (s *mirrorSyncer) applyHeld(removals []mirror.Item, cause string) {
-	if len(removals) > 0 {
-		s.log.V(1).Info("held removals applied", "removals", len(removals), "first", removals[0].Key(), "cause", cause,
-			"held", s.mirror.Held())
+// applyHeld applies changes that were held back. The caller holds the lock.
+func (s *mirrorSyncer) applyHeld(changes []mirror.Item, cause string) {
+	if len(changes) > 0 {
+		s.log.V(1).Info("held changes applied", "changes", len(changes), "first", changes[0].Key(), "cause", cause,
+			"held", s.mirror.Held(), "retained", s.mirror.Retained())
 	}
-	s.applyChanges(removals)
+	s.applyChanges(changes)
 }
 
 // recordReply counts and logs a reply that is older than the mirror was when it arrived, with
