mirror: a repeated write is not taken for a lapsed key

Callers: after the store was restored from an older copy, requests reach a replica that has left, also one whose entry the store has removed.

Cause: the entry was missing in the copy, so that its removal was held back as that of a key that may have lapsed, for 2.2 s. When the entry was then written again in a state of before its leaving, that write took over the end and the mark of the held removal. It took effect after 2.2 s instead of at the end of the retention. Within the grace period of a failure of the store a later removal of the key was dropped, because the removal of a lapsed key counts as held back already: the older state took effect, and the mirror lacked the removal although its proof covered it.

Change: a repeated write is deferred to the end of the retention of the restore, and not as lapsed.

Evidence: TestRepeatedWriteHasNotLapsed fails in all its assertions without the change.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -80,6 +80,7 @@
 	revision          Revision
 	complete          bool
 	storeFailedAt     clock.Millis // latest failure of the store, or 0
+	restoredAt        clock.Millis // when the mirror passed to its era
 }
 
 // SetSchema describes the items. Without a schema all of them are durable.
@@ -191,8 +192,7 @@
 			continue
 		case ok && isDeferred && known.revision.era != item.revision.era && m.precedes(item, known):
 			// The writer repeats its writes in their order.
-			d.change = item
-			m.postpone(d)
+			m.postpone(deferredChange{change: item, until: m.restoredAt + rewritePeriod})
 			continue
 		}
 		delete(m.deferred, item.key)
--- a/core/mirror/restore.go
+++ b/core/mirror/restore.go
@@ -64,7 +64,7 @@
 // effect for a time if the listed one may be older.
 func (m *Mirror) restore(now clock.Millis, items []Item, revision Revision) []Item {
 	previous := m.revision
-	m.revision, m.compactedRevision = revision, revision
+	m.revision, m.compactedRevision, m.restoredAt = revision, revision, now
 	m.tombstones = m.tombstones[:0]
 	m.deferred = nil
 	removed := m.recentlyRemoved(now)
--- a/core/mirror/restore_test.go
+++ b/core/mirror/restore_test.go
@@ -230,6 +230,26 @@
 	assert.Empty(t, r.mirror.Expire(clock.Minute))
 }
 
+// Guards against a replica that has left and is used again: after the restore its entry was
+// missing, and was then written again in the state of before its leaving.
+func TestRepeatedWriteHasNotLapsed(t *testing.T) {
+	r := newRestoredReader(valued("e1", "leaving 9", inEra(1, 90)))
+	restoreAt(t, r, 10_000, 80)
+	call := r.Begin(r.Next(11_200), 11_200, 11_200)
+	assert.Empty(t, r.HandleEvents(call, 11_200, []Item{valued("e1", "ready 7", inEra(2, 81))}, inEra(2, 81)))
+	assert.Zero(t, r.mirror.Held())
+	assert.Empty(t, r.mirror.Expire(10_000+lapseGracePeriod))
+	assert.Equal(t, []string{"e1"}, changedKeys(r.mirror.Expire(10_000+rewritePeriod)), "the store is right in the end")
+
+	r = newRestoredReader(valued("e1", "leaving 9", inEra(1, 90)))
+	restoreAt(t, r, 10_000, 80)
+	r.RecordFailure(r.Begin(r.Next(11_200), 11_200, 11_200), 11_200, ErrUnavailable)
+	call = r.Begin(r.Next(12_000), 12_000, 12_000)
+	r.HandleEvents(call, 12_000, []Item{valued("e1", "ready 7", inEra(2, 81)), NewRemoval("e1", inEra(2, 82))}, inEra(2, 82))
+	assert.False(t, r.mirror.Stored("e1"))
+	assert.Equal(t, []string{"-e1"}, changedKeys(r.mirror.Expire(11_200+lapseGracePeriod)))
+}
+
 // Guards against a data centre that comes back into service, or a replica that has left and is
 // used again, because the store is listed once more while operators write again what it lost.
 func TestRetentionOutlivesNextListing(t *testing.T) {
