mirror: a removal after a restore ends the retention

Callers: a key, a configuration or an evacuation that is withdrawn after the store was restored from an older copy stays in force until 15 s after the restore, beyond the revocation time of keys.

Cause: a key that the copy lacks stays in effect while operators write again what was lost. A removal of the key was ignored meanwhile, as if it repeated that the key is missing. But the store removes only what exists: the key was written after the restore, and removed since. A daemon learns of both in one reply, as of a source that gives it the last change of each key.

Change: a removal in a reply of the store or a peer ends the retention. A listing without the key still doesn't.

Evidence: TestRemovalAfterRestoreEndsRetention fails without the change (nothing is removed).

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -131,7 +131,8 @@
 	}
 	var changes []Item
 	for key, old := range m.items {
-		if !listed[key] && !revision.Before(old.revision) {
+		// That a key is still missing whose removal is deferred says nothing new.
+		if !listed[key] && !revision.Before(old.revision) && m.Stored(key) {
 			changes = m.remove(now, changes, NewRemoval(key, revision))
 		}
 	}
@@ -203,7 +204,8 @@
 }
 
 // remove removes an item and appends the removal to changes. Within the grace
-// period of a store failure the removal is held back for Expire instead.
+// period of a store failure the removal is held back for Expire instead. It ends the retention
+// after a restore of the store.
 func (m *Mirror) remove(now clock.Millis, changes []Item, removal Item) []Item {
 	known, ok := m.items[removal.key]
 	if ok && removal.revision.Before(known.revision) {
@@ -211,7 +213,7 @@
 	}
 	m.addTombstone(removal)
 	d, isDeferred := m.deferred[removal.key]
-	if isDeferred && d.change.removed && now < d.until {
+	if isDeferred && d.lapsed && now < d.until {
 		return changes
 	}
 	if !ok {
--- a/core/mirror/restore_test.go
+++ b/core/mirror/restore_test.go
@@ -230,6 +230,17 @@
 	assert.Empty(t, r.mirror.Expire(clock.Minute))
 }
 
+// Guards against a key that is withdrawn and stays in force until the end of the retention: it
+// was written again after the restore, and the daemon learns only of its removal.
+func TestRemovalAfterRestoreEndsRetention(t *testing.T) {
+	r := newRestoredReader(valued("config", "v 7", inEra(1, 90)))
+	restoreAt(t, r, 10_000, 80)
+	call := r.Begin(r.Next(11_200), 11_200, 11_200)
+	removal := NewRemoval("config", inEra(2, 82))
+	assert.Equal(t, []string{"-config"}, changedKeys(r.HandleEvents(call, 11_200, []Item{removal}, inEra(2, 82))))
+	assert.Zero(t, r.mirror.Retained())
+}
+
 // Guards against a replica that has left and is used again: after the restore its entry was
 // missing, and was then written again in the state of before its leaving.
 func TestRepeatedWriteHasNotLapsed(t *testing.T) {
