mirror: a watch of an earlier era doesn't cover the changes of the next

Callers: after the store was restored from an older copy, a daemon misses changes for good, until their keys change again: requests that an outdated configuration allows, to replicas that have left, with keys that are withdrawn. Its proof says that it has the changes.

Cause: a watch asks for the changes after a number. If it began before the restore, at revision 179 of era 3, and the store answers it after, its reply has the changes after 179 of era 4. A mirror that had meanwhile been listed at revision 175 of era 4 applied the reply and passed to its revision, without the changes from 176 to 179. Watches overlap with listings, so that a slow one is enough.

Change: such a reply is ignored unless the mirror has reached the number of the call in the era of the reply.

Evidence: TestWatchOfEarlierEraLeavesGap fails without the change.

--- a/core/mirror/reader.go
+++ b/core/mirror/reader.go
@@ -328,6 +328,11 @@
 		r.requireListing()
 		return nil
 	}
+	if r.mirror.Revision().Before(NewRevision(revision.era, call.afterRevision.number)) {
+		// The watch began in an earlier era, with a number that the mirror has not reached in this
+		// one, so that the reply lacks the changes up to it.
+		return nil
+	}
 	r.storeAsOf = max(r.storeAsOf, sent)
 	current := !revision.Before(r.mirror.Revision())
 	changes := r.mirror.Apply(now, stamp(events, revision.era), revision)
--- a/core/mirror/restore_test.go
+++ b/core/mirror/restore_test.go
@@ -297,6 +297,23 @@
 	assert.Equal(t, []string{"b"}, changedKeys(r.HandlePeerReply(3400, []Item{valued("b", "new", inEra(3, 90))}, true, inEra(3, 90), 0)))
 }
 
+// Guards against changes that are missed: a watch that began in an earlier era is answered in the
+// next one, after a number that the mirror has not reached there.
+func TestWatchOfEarlierEraLeavesGap(t *testing.T) {
+	r := newRestoredReader(valued("a", "1", inEra(1, 90)))
+	watch := r.Begin(r.Next(1200), 1200, 1200)
+	require.Equal(t, inEra(1, 100), watch.AfterRevision())
+	restoreAt(t, r, 2000, 80, valued("a", "1", inEra(2, 70)))
+	assert.Empty(t, r.HandleEvents(watch, 3000, []Item{valued("b", "2", inEra(2, 101))}, inEra(2, 101)))
+	assert.Equal(t, inEra(2, 80), r.mirror.Revision())
+	assert.EqualValues(t, 1000, r.Age(3000))
+	at, _ := r.ProvenAt()
+	assert.EqualValues(t, 2000, at)
+	call := r.Begin(r.Next(3100), 3100, 3100)
+	r.HandleEvents(call, 3100, []Item{valued("c", "2", inEra(2, 100)), valued("b", "2", inEra(2, 101))}, inEra(2, 101))
+	assert.Equal(t, 3, r.mirror.Len())
+}
+
 // Guards against a restore that goes unnoticed because the store does not state its era, or
 // states the same one as before.
 func TestLowerRevisionShowsRestore(t *testing.T) {
