mirror: items that are written on condition follow a restored store at once

Callers: none yet. The status of a release is written on condition of the revision that the store has.

Change: the kind Conditional. Items of this kind, and their removals, are in effect with the first listing of a later era.

Evidence: TestConditionalItemsFollowStoreAtOnce fails without it: none of its three changes is returned by the listing.

--- a/core/mirror/restore.go
+++ b/core/mirror/restore.go
@@ -29,6 +29,9 @@
 	Ephemeral
 	// Restriction items are durable, and forbid something while they exist.
 	Restriction
+	// Conditional items are durable, and are written on condition of their revision. After a
+	// restore the listed ones are in effect at once, since the next write needs their revisions.
+	Conditional
 )
 
 // Sequence orders the values that a key has had. They are compared element by element. The
@@ -87,6 +90,11 @@
 	for key, known := range m.items {
 		if !listed[key] {
 			removal := NewRemoval(key, revision)
+			if m.kind(key) == Conditional {
+				m.drop(now, key)
+				changes = append(changes, removal)
+				continue
+			}
 			m.postpone(deferredChange{
 				change: removal, until: now + m.retention(known, removal, previous), lapsed: m.kind(key) == Ephemeral,
 			})
@@ -100,6 +108,8 @@
 // the restore.
 func (m *Mirror) retention(known, listed Item, previous Revision) clock.Millis {
 	switch {
+	case m.kind(known.key) == Conditional:
+		return 0
 	case listed.removed && m.kind(known.key) == Ephemeral:
 		return lapseGracePeriod
 	case listed.removed:
--- a/core/mirror/restore_test.go
+++ b/core/mirror/restore_test.go
@@ -14,7 +14,7 @@
 )
 
 // testSchema takes the kind of a key from its first letter, e for ephemeral, r for a
-// restriction. The number at the end of a value, if there is one, is its sequence.
+// restriction, s for conditional. The number at the end of a value, if there is one, is its sequence.
 type testSchema struct{}
 
 func (testSchema) Kind(key string) Kind {
@@ -23,6 +23,8 @@
 		return Ephemeral
 	case 'r':
 		return Restriction
+	case 's':
+		return Conditional
 	}
 	return Durable
 }
@@ -214,6 +216,18 @@
 	return first
 }
 
+// Guards against the status of a release that is written on condition of a revision that the
+// store doesn't have, since the status from before the restore stays in effect.
+func TestConditionalItemsFollowStoreAtOnce(t *testing.T) {
+	r := newRestoredReader(valued("s1", "completed", inEra(1, 90)), valued("s2", "running", inEra(1, 91)), valued("s3", "running", inEra(1, 92)))
+	r.HandleEvents(r.Begin(r.Next(1200), 1200, 1200), 1200, []Item{NewRemoval("s3", inEra(1, 101))}, inEra(1, 101))
+	changes := restoreAt(t, r, 10_000, 80, valued("s1", "running", inEra(2, 70)), valued("s3", "running", inEra(2, 72)))
+	assert.ElementsMatch(t, []Item{
+		valued("s1", "running", inEra(2, 70)), NewRemoval("s2", inEra(2, 80)), valued("s3", "running", inEra(2, 72)),
+	}, changes)
+	assert.Zero(t, r.mirror.Retained())
+}
+
 // Guards against a replica, or a version of the configuration, whose return is ignored because
 // the state from before the restore stays in effect.
 func TestWritesAfterRestoreEndRetention(t *testing.T) {
