release: revisions of statuses, orders and directives belong to an era

Callers would see: after the store was restored from an older copy, the status of a release is ignored as outdated, so that a version that was rolled back, or ordered anew, is handled as before the restore; directives of before the restore are obeyed, and those of the decider ignored, until the numbers have passed the old ones; a write may be applied to an item that only has the same number as the expected one.

Change: all of them are of the type mirror.Revision. A removal of a status has a revision too. A write is planned with revisions of the store's era only: if the status is that of an earlier one it is read, and while the order is one that the mirror retains, nothing is sent. A write that the era of the mirror has overtaken is not sent, and a reply of a later era than the call began in is not taken for a success; in both cases the status is read.

--- a/core/release/decider.go
+++ b/core/release/decider.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/mirror"
 )
 
 // The time of a release is divided into the trial, the ramp with the drain, and a margin
@@ -69,10 +70,11 @@
 	phaseAt       clock.Millis
 	share         float64
 	spokenAt      clock.Millis
-	pending       *Status // the status that is to be written
-	inFlight      bool    // a write or read is in progress
-	updatesBefore uint64  // statusUpdates at its start
-	uncertain     bool    // a write had no reply; the status must be read
+	pending       *Status    // the status that is to be written
+	inFlight      bool       // a write or read is in progress
+	updatesBefore uint64     // statusUpdates at its start
+	callEra       mirror.Era // latest known one at its start
+	uncertain     bool       // a write had no reply; the status must be read
 	retryAt       clock.Millis
 	verdict       string                  // for logs
 	unheard       map[string]clock.Millis // instant at which a daemon without a report was first seen in the drain
@@ -91,7 +93,8 @@
 	Cells       []Cell
 	// StoreAge is the age of the daemon's view of the store.
 	StoreAge  clock.Millis
-	TimeOfDay int64 // Unix ms
+	StoreEra  mirror.Era // of that view
+	TimeOfDay int64      // Unix ms
 }
 
 // ActionKind is the kind of an Action.
@@ -118,12 +121,18 @@
 	Report        Report
 	Directive     Directive
 	Status        Status
-	Expect        uint64
-	OrderRevision uint64
+	Expect        mirror.Revision
+	OrderRevision mirror.Revision
 	Message       string
 	Values        []any
 }
 
+// Outdated reports whether a WriteStatus was planned in an earlier era than the given one. Its
+// revisions may stand for other items by now, so it must not be sent.
+func (a Action) Outdated(era mirror.Era) bool {
+	return a.Expect.Era().Compare(era) < 0 || a.OrderRevision.Era().Compare(era) < 0
+}
+
 // schedule returns the instants at which the ramp begins and at which the release must be
 // complete, and the time for ramp and drain.
 func (r *Release) schedule() (rampAt, dueAt, finish clock.Millis) {
@@ -136,6 +145,11 @@
 
 // Tick returns what is due. It is called every 100 ms or so while the release is active.
 func (r *Release) Tick(now clock.Millis, local Local) []Action {
+	r.observeEra(local.StoreEra)
+	if r.status.Target == "" && local.StoreEra.Compare(r.status.Revision.Era()) > 0 {
+		// Otherwise the changes of the store would have brought it.
+		r.status.Revision = mirror.NewRevision(local.StoreEra, 0)
+	}
 	if !r.Active() {
 		r.decision.stop()
 		return nil
@@ -173,7 +187,7 @@
 	if r.panelist {
 		return since >= r.interval()
 	}
-	changed := report.Phase != r.reported.Phase || report.Revision != r.reported.Revision ||
+	changed := report.Phase != r.reported.Phase || report.Revision.Compare(r.reported.Revision) != 0 ||
 		(report.OldInFlight > 0) != (r.reported.OldInFlight > 0) || (report.Targets > 0) != (r.reported.Targets > 0)
 	return since >= quietInterval || (changed && report.Phase == Drain && since >= r.interval())
 }
@@ -230,7 +244,7 @@
 	case d.pending != nil && d.pending.State == Completed && !d.inFlight:
 		d.pending = nil // the write failed, and the release is no longer drained
 	}
-	if now >= d.spokenAt+r.interval() || r.directive.Phase != d.phase || r.directive.Revision != r.status.Revision {
+	if now >= d.spokenAt+r.interval() || r.directive.Phase != d.phase || r.directive.Revision.Compare(r.status.Revision) != 0 {
 		d.spokenAt = now
 		directive := Directive{
 			Target: r.target, Revision: r.status.Revision, Sequence: r.directive.Sequence + 1, Phase: d.phase, Share: d.share,
@@ -394,7 +408,7 @@
 			continue
 		}
 		if held == nil || now-held.at > reportMaxAge || held.report.Phase != Drain ||
-			held.report.Revision != r.status.Revision || held.report.OldInFlight > 0 {
+			held.report.Revision.Compare(r.status.Revision) != 0 || held.report.OldInFlight > 0 {
 			return false
 		}
 	}
@@ -429,11 +443,15 @@
 	if d.pending == nil || d.inFlight || now < d.retryAt {
 		return nil
 	}
-	d.inFlight, d.updatesBefore = true, r.statusUpdates
-	if d.uncertain {
-		return []Action{{Kind: ReadStatus}}
+	write := Action{Kind: WriteStatus, Status: *d.pending, Expect: r.status.expected(), OrderRevision: r.order.Revision}
+	switch {
+	case d.uncertain || write.Expect.Era().Compare(r.era) < 0:
+		write = Action{Kind: ReadStatus}
+	case write.Outdated(r.era):
+		return nil // the restored store may lack the order; it is retained until operators write it again
 	}
-	return []Action{{Kind: WriteStatus, Status: *d.pending, Expect: r.status.Revision, OrderRevision: r.order.Revision}}
+	d.inFlight, d.updatesBefore, d.callEra = true, r.statusUpdates, r.era
+	return []Action{write}
 }
 
 // Result is the result of writing or reading a status.
@@ -441,6 +459,8 @@
 	// Known is unset if the store gave no usable answer. A write may then have taken
 	// effect, or may do so later.
 	Known bool
+	// Era is that of the store at its answer.
+	Era mirror.Era
 	// Status is the status that the store holds after the call.
 	Status Status
 }
@@ -464,16 +484,24 @@
 // If the known one has changed during the call, only one with a later revision is known
 // to be newer. An absent status has no revision.
 func (r *Release) appliesNow(status Status) bool {
-	return r.statusUpdates == r.decision.updatesBefore || r.status.Revision > 0 && status.Revision > r.status.Revision
+	return r.statusUpdates == r.decision.updatesBefore ||
+		r.status.Revision.Number() > 0 && r.status.Revision.Before(status.Revision)
 }
 
 func (r *Release) handleResult(now clock.Millis, result Result, timeOfDay int64) []Action {
 	d := &r.decision
+	inFlight := d.inFlight
 	d.inFlight = false
 	if !result.Known {
 		d.retryAt = now + writeRetryInterval
 		return nil
 	}
+	if inFlight && result.Era.Compare(d.callEra) > 0 {
+		// The revisions that the call was based on are those of another item by now.
+		r.observeEra(result.Era)
+		d.uncertain, d.retryAt = true, now+writeRetryInterval
+		return nil
+	}
 	if r.appliesNow(result.Status) {
 		r.setStatus(now, result.Status, timeOfDay)
 	}
--- a/core/release/release.go
+++ b/core/release/release.go
@@ -28,6 +28,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/mirror"
 	"github.com/lovagegap/lovagegap/core/quota"
 	"github.com/lovagegap/lovagegap/core/replica"
 )
@@ -46,7 +47,7 @@
 type Order struct {
 	Target   string
 	Duration clock.Millis
-	Revision uint64 // of the item in the store
+	Revision mirror.Revision // of the item in the store
 }
 
 // State is the state of a release as the store holds it.
@@ -69,7 +70,9 @@
 	Excluded  []string // versions that earlier releases did not complete
 	Decider   string   // daemon that wrote it
 	StartedAt int64    // time of day at which the release started, in Unix ms
-	Revision  uint64   // of the item in the store; 0 if there is none
+	// Revision is that of the item in the store, or of its removal. Its number is 0 if no
+	// removal is known.
+	Revision mirror.Revision
 }
 
 // Equal reports whether two statuses state the same, whatever their revisions.
@@ -78,6 +81,15 @@
 		s.StartedAt == other.StartedAt && slices.Equal(s.Excluded, other.Excluded)
 }
 
+// expected returns the revision on condition of which the status can be written. Its number is
+// 0 if the store has no status.
+func (s Status) expected() mirror.Revision {
+	if s.Target == "" {
+		return mirror.NewRevision(s.Revision.Era(), 0)
+	}
+	return s.Revision
+}
+
 // maxExcluded bounds the versions that a status lists as rolled back.
 const maxExcluded = 8
 
@@ -106,11 +118,11 @@
 
 // Directive is what the decider tells all daemons.
 type Directive struct {
-	Target   string  `cbor:"1,keyasint"`
-	Revision uint64  `cbor:"2,keyasint"` // of the decider's status; the directive with the highest one is obeyed
-	Sequence uint64  `cbor:"3,keyasint"` // orders the directives of a decider
-	Phase    Phase   `cbor:"4,keyasint"`
-	Share    float64 `cbor:"5,keyasint"`
+	Target   string          `cbor:"1,keyasint"`
+	Revision mirror.Revision `cbor:"-"`          // of the decider's status; the directive with the latest one is obeyed
+	Sequence uint64          `cbor:"3,keyasint"` // orders the directives of a decider
+	Phase    Phase           `cbor:"4,keyasint"`
+	Share    float64         `cbor:"5,keyasint"`
 	// ElapsedMs is the time since the order.
 	ElapsedMs float64 `cbor:"6,keyasint"`
 	Daemons   int     `cbor:"7,keyasint"` // that share the slack of the exposure bound
@@ -118,23 +130,23 @@
 
 // newer reports whether the directive replaces another one.
 func (w *Directive) newer(other *Directive) bool {
-	if w.Revision != other.Revision {
-		return w.Revision > other.Revision
+	if order := w.Revision.Compare(other.Revision); order != 0 {
+		return order > 0
 	}
 	return w.Sequence > other.Sequence
 }
 
 // Report is the evidence of one daemon since the order reached it. All counts only grow.
 type Report struct {
-	Target      string `cbor:"1,keyasint"`
-	DataCentre  string `cbor:"2,keyasint"` // of the daemon
-	Revision    uint64 `cbor:"3,keyasint"` // of the directive in force
-	Phase       Phase  `cbor:"4,keyasint"` // in force
-	Draws       uint64 `cbor:"5,keyasint"` // requests to the service
-	Exposed     uint64 `cbor:"6,keyasint"` // requests sent to the new version
-	OldInFlight int    `cbor:"7,keyasint"`
-	Targets     int    `cbor:"8,keyasint"` // usable replicas of the new version
-	Cells       []Cell `cbor:"-"`
+	Target      string          `cbor:"1,keyasint"`
+	DataCentre  string          `cbor:"2,keyasint"` // of the daemon
+	Revision    mirror.Revision `cbor:"-"`          // of the directive in force
+	Phase       Phase           `cbor:"4,keyasint"` // in force
+	Draws       uint64          `cbor:"5,keyasint"` // requests to the service
+	Exposed     uint64          `cbor:"6,keyasint"` // requests sent to the new version
+	OldInFlight int             `cbor:"7,keyasint"`
+	Targets     int             `cbor:"8,keyasint"` // usable replicas of the new version
+	Cells       []Cell          `cbor:"-"`
 }
 
 const (
@@ -208,8 +220,9 @@
 
 	order         *Order
 	status        Status
-	statusUpdates uint64 // calls of SetStatus so far
-	inherited     bool   // the release ran for inheritedAge before this daemon heard of it
+	statusUpdates uint64     // calls of SetStatus so far
+	era           mirror.Era // latest known one of the store
+	inherited     bool       // the release ran for inheritedAge before this daemon heard of it
 	startedAt     clock.Millis
 	target        string   // that the fields below apply to
 	deciders      []string // daemons that may decide
@@ -289,17 +302,19 @@
 }
 
 // SetStatus sets the status from the changes of the store. One that is older than the
-// known one is ignored. TimeOfDay is in Unix ms.
+// known one is ignored, also if its number is higher but its era earlier. TimeOfDay is in Unix ms.
 func (r *Release) SetStatus(now clock.Millis, status Status, timeOfDay int64) {
 	r.statusUpdates++
 	r.setStatus(now, status, timeOfDay)
 }
 
 func (r *Release) setStatus(now clock.Millis, status Status, timeOfDay int64) {
-	if status.Revision < r.status.Revision && status.Revision != 0 {
+	absent := status.Revision.Number() == 0 && status.Revision.Era().Compare(r.status.Revision.Era()) >= 0
+	if status.Revision.Before(r.status.Revision) && !absent {
 		return
 	}
-	first := r.status.Revision == 0
+	r.observeEra(status.Revision.Era())
+	first := r.status.Target == ""
 	r.status = status
 	if status.State == Running && status.Target == r.target && first && status.Decider != r.self {
 		// After a restart of this daemon the time continues. The time of day may have
@@ -312,6 +327,13 @@
 	}
 }
 
+// observeEra records that the store is in an era, or was.
+func (r *Release) observeEra(era mirror.Era) {
+	if era.Compare(r.era) > 0 {
+		r.era = era
+	}
+}
+
 // backdate records that the release has run for a time, if that is longer than known.
 func (r *Release) backdate(now, elapsed clock.Millis) {
 	r.inherited = r.inherited || elapsed > now-r.startedAt+inheritedAge
@@ -352,7 +374,7 @@
 // ReceiveDirective takes the directive of a decider that was published age ago. A directive is obeyed if
 // its decider has written the latest status.
 func (r *Release) ReceiveDirective(now clock.Millis, directive Directive, age clock.Millis) {
-	if !directive.newer(&r.directive) || directive.Revision < r.status.Revision {
+	if !directive.newer(&r.directive) || directive.Revision.Before(r.status.Revision) {
 		return
 	}
 	r.directive, r.directiveAt = directive, now-max(0, age)
@@ -373,7 +395,7 @@
 
 // SetOrderRevision records that the item of the order has another revision, although the
 // order in force stays: its new content is invalid.
-func (r *Release) SetOrderRevision(revision uint64) {
+func (r *Release) SetOrderRevision(revision mirror.Revision) {
 	if r.order != nil {
 		order := *r.order
 		order.Revision = revision
@@ -417,7 +439,7 @@
 	case current && r.status.State == Completed:
 		rule.Mode = replica.TargetOnly
 	case r.order == nil, r.rejected, !current || r.status.State != Running, r.directive.Target != target,
-		r.directive.Revision < r.status.Revision, r.directive.Phase == Trial && !r.panelist:
+		r.directive.Revision.Before(r.status.Revision), r.directive.Phase == Trial && !r.panelist:
 	case r.directive.Phase == Trial:
 		rule.Mode, rule.Share, rule.Until = replica.SplitVersions, r.directive.Share, r.directiveAt+r.directiveLifetime()
 		rule.Bounded, rule.ExposureShare = true, r.settings.ExposureShare*usableBound
@@ -444,7 +466,7 @@
 
 // phaseInForce returns the phase of the directive that the daemon obeys, and the revision of
 // that directive.
-func (r *Release) phaseInForce(now clock.Millis) (Phase, uint64) {
+func (r *Release) phaseInForce(now clock.Millis) (Phase, mirror.Revision) {
 	switch rule := r.Rule(); {
 	case r.rejected:
 		return Rejected, r.directive.Revision
@@ -453,6 +475,6 @@
 	case rule.Mode == replica.SplitVersions && now < rule.Until:
 		return r.directive.Phase, r.directive.Revision
 	default:
-		return Trial, 0
+		return Trial, mirror.Revision{}
 	}
 }
--- a/core/release/release_test.go
+++ b/core/release/release_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/fleet"
+	"github.com/lovagegap/lovagegap/core/mirror"
 	"github.com/lovagegap/lovagegap/core/replica"
 )
 
@@ -20,6 +21,9 @@
 
 var simSettings = Settings{ExposureShare: 0.1, ExposureSlack: 50, RollbackTime: 5 * clock.Second}
 
+// revisionAt returns the revision with a number in the first era.
+func revisionAt(number uint64) mirror.Revision { return mirror.NewRevision(mirror.Era{}, number) }
+
 // fleetSim is a fleet of daemons on a manual clock, with a store and the pools that send
 // requests under the rules of the releases.
 type fleetSim struct {
@@ -29,6 +33,7 @@
 	daemons []*simDaemon
 	order   *Order
 	status  Status
+	era     mirror.Era
 	history []State // that the store has held
 	calls   int
 	reports int // published
@@ -53,6 +58,7 @@
 	cells       map[CellKey]*Counts
 	open        []simRequest
 	seenOrder   *Order
+	seenEra     mirror.Era
 	storeSeenAt clock.Millis
 	writes      []Action // held back while paused
 	paused      bool
@@ -140,7 +146,7 @@
 
 func (s *fleetSim) step(d *simDaemon) {
 	if !s.silent && !d.cut {
-		d.storeSeenAt = s.now
+		d.storeSeenAt, d.seenEra = s.now, s.era
 		if d.seenOrder != s.order {
 			d.seenOrder = s.order
 			if s.order != nil && s.order.Target != d.Target() {
@@ -161,7 +167,7 @@
 	draws, exposed, oldInFlight := d.pool.VersionTraffic()
 	local := Local{
 		DataCentre: "a", Draws: draws, Exposed: exposed, OldInFlight: oldInFlight, Targets: d.pool.UsableTargets(s.now),
-		StoreAge: s.now - d.storeSeenAt, TimeOfDay: s.timeOfDay(),
+		StoreAge: s.now - d.storeSeenAt, StoreEra: d.seenEra, TimeOfDay: s.timeOfDay(),
 	}
 	for key, counts := range d.cells {
 		cell := Cell{CellKey: key}
@@ -204,7 +210,7 @@
 		s.write(d, action)
 	case ReadStatus:
 		s.calls++
-		d.HandleRead(s.now, Result{Known: !s.silent && !d.cut, Status: s.status}, s.timeOfDay())
+		d.HandleRead(s.now, Result{Known: !s.silent && !d.cut, Era: s.era, Status: s.status}, s.timeOfDay())
 	}
 }
 
@@ -214,8 +220,8 @@
 		d.HandleWrite(s.now, Result{}, s.timeOfDay())
 		return
 	}
-	if s.status.Revision == action.Expect && s.order != nil && s.order.Revision == action.OrderRevision {
-		revision := max(s.status.Revision, s.order.Revision) + 1
+	if s.status.Revision.Number() == action.Expect.Number() && s.order != nil && s.order.Revision.Number() == action.OrderRevision.Number() {
+		revision := s.nextRevision()
 		s.status = action.Status
 		s.status.Revision = revision
 		s.history = append(s.history, s.status.State)
@@ -232,7 +238,7 @@
 			}
 		}
 	}
-	d.HandleWrite(s.now, Result{Known: !s.loseReplies, Status: s.status}, s.timeOfDay())
+	d.HandleWrite(s.now, Result{Known: !s.loseReplies, Era: s.era, Status: s.status}, s.timeOfDay())
 }
 
 // traffic ends the requests of the last tick and sends new ones.
@@ -283,6 +289,15 @@
 	}
 }
 
+// nextRevision returns the revision of the next write to the store.
+func (s *fleetSim) nextRevision() mirror.Revision {
+	last := s.status.Revision.Number()
+	if s.order != nil {
+		last = max(last, s.order.Revision.Number())
+	}
+	return mirror.NewRevision(s.era, last+1)
+}
+
 func (s *fleetSim) ended() bool { return s.status.State.Terminal() }
 
 // Guards against a release in a fleet of more daemons than take part in the trial that is
@@ -291,7 +306,7 @@
 	for want, failing := range map[State]float64{Completed: 0, RolledBack: 0.4} {
 		s := newFleetSim(t, 6, 3*panelSize)
 		s.rate, s.failing = 400, func() float64 { return failing }
-		s.setOrder(&Order{Target: "v2", Duration: 40 * clock.Second, Revision: 1})
+		s.setOrder(&Order{Target: "v2", Duration: 40 * clock.Second, Revision: revisionAt(1)})
 		s.run(40*clock.Second, s.ended)
 		assert.Equal(t, want, s.status.State)
 		assert.Zero(t, s.oldAtCompletion)
@@ -360,7 +375,7 @@
 			t.Run(fmt.Sprintf("%v/%v", duration, rate), func(t *testing.T) {
 				s := newFleetSim(t, 5, 10)
 				s.rate = rate
-				s.setOrder(&Order{Target: "v2", Duration: duration, Revision: 1})
+				s.setOrder(&Order{Target: "v2", Duration: duration, Revision: revisionAt(1)})
 				ordered := s.now
 				s.run(2*duration, s.ended)
 				assert.Equal(t, Completed, s.status.State)
@@ -406,7 +421,7 @@
 				s := newFleetSim(t, seed, 10)
 				ordered := s.now
 				s.failing = func() float64 { return c.failing(s, s.now-ordered) }
-				s.setOrder(&Order{Target: "v2", Duration: duration, Revision: 1})
+				s.setOrder(&Order{Target: "v2", Duration: duration, Revision: revisionAt(1)})
 				s.run(duration, func() bool {
 					if c.rate != nil {
 						s.rate = c.rate(s.now - ordered)
@@ -489,7 +504,7 @@
 		},
 		"order repeated": func(s *fleetSim) {
 			s.run(8*clock.Second, nil)
-			s.setOrder(&Order{Target: "v2", Duration: duration, Revision: s.status.Revision + 1})
+			s.setOrder(&Order{Target: "v2", Duration: duration, Revision: s.nextRevision()})
 		},
 	} {
 		for _, bad := range []bool{false, true} {
@@ -499,7 +514,7 @@
 				if bad { // from a time at which every fault has happened
 					s.failing = func() float64 { return map[bool]float64{true: 0.5}[s.now > ordered+9*clock.Second] }
 				}
-				s.setOrder(&Order{Target: "v2", Duration: duration, Revision: 1})
+				s.setOrder(&Order{Target: "v2", Duration: duration, Revision: revisionAt(1)})
 				fault(s)
 				s.run(ordered+duration-s.now, s.ended)
 				want := Completed
@@ -528,11 +543,11 @@
 // what its successor has decided.
 func TestPausedDeciderCannotUndoDecision(t *testing.T) {
 	s := newFleetSim(t, 4, 6)
-	s.setOrder(&Order{Target: "v2", Duration: 30 * clock.Second, Revision: 1})
+	s.setOrder(&Order{Target: "v2", Duration: 30 * clock.Second, Revision: revisionAt(1)})
 	s.run(6*clock.Second, nil)
 	paused := s.decider()
 	stale := Action{
-		Kind: WriteStatus, Status: paused.terminal(Completed), Expect: s.status.Revision, OrderRevision: 1,
+		Kind: WriteStatus, Status: paused.terminal(Completed), Expect: s.status.Revision, OrderRevision: revisionAt(1),
 	}
 	paused.dead = true
 	s.failing = func() float64 { return 0.6 }
@@ -560,7 +575,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newFleetSim(t, 2, 6)
-			s.setOrder(&Order{Target: "v2", Duration: 60 * clock.Second, Revision: 1})
+			s.setOrder(&Order{Target: "v2", Duration: 60 * clock.Second, Revision: revisionAt(1)})
 			s.run(10*clock.Second, nil)
 			require.Positive(t, s.exposed)
 			at := s.now
@@ -575,7 +590,7 @@
 // Guards against rules that allow a version which no order or configuration allows: an
 // order reaches only some daemons, changes midway, or follows a rollback.
 func TestRuleOfState(t *testing.T) {
-	order := &Order{Target: "v2", Duration: clock.Minute, Revision: 3}
+	order := &Order{Target: "v2", Duration: clock.Minute, Revision: revisionAt(3)}
 	for name, c := range map[string]struct {
 		order     *Order
 		status    Status
@@ -584,17 +599,17 @@
 	}{
 		"nothing known":           {want: replica.VersionRule{}},
 		"order only":              {order: order, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2", TargetIfAlone: true}},
-		"directive without order": {directive: Directive{Target: "v2", Revision: 9, Share: 1, Phase: Ramp}, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2"}},
-		"running, no directive":   {order: order, status: Status{State: Running, Target: "v2", Revision: 4}, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2", TargetIfAlone: true}},
-		"completed":               {order: order, status: Status{State: Completed, Target: "v2", Revision: 4}, want: replica.VersionRule{Mode: replica.TargetOnly, Target: "v2"}},
-		"completed, no order":     {status: Status{State: Completed, Target: "v2", Revision: 4}, want: replica.VersionRule{Mode: replica.TargetOnly, Target: "v2"}},
-		"rolled back":             {order: order, status: Status{State: RolledBack, Target: "v2", Revision: 4}, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2"}},
+		"directive without order": {directive: Directive{Target: "v2", Revision: revisionAt(9), Share: 1, Phase: Ramp}, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2"}},
+		"running, no directive":   {order: order, status: Status{State: Running, Target: "v2", Revision: revisionAt(4)}, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2", TargetIfAlone: true}},
+		"completed":               {order: order, status: Status{State: Completed, Target: "v2", Revision: revisionAt(4)}, want: replica.VersionRule{Mode: replica.TargetOnly, Target: "v2"}},
+		"completed, no order":     {status: Status{State: Completed, Target: "v2", Revision: revisionAt(4)}, want: replica.VersionRule{Mode: replica.TargetOnly, Target: "v2"}},
+		"rolled back":             {order: order, status: Status{State: RolledBack, Target: "v2", Revision: revisionAt(4)}, want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2"}},
 		"next order after a rollback": {
-			order: &Order{Target: "v3", Duration: clock.Minute, Revision: 7}, status: Status{State: RolledBack, Target: "v2", Revision: 4},
+			order: &Order{Target: "v3", Duration: clock.Minute, Revision: revisionAt(7)}, status: Status{State: RolledBack, Target: "v2", Revision: revisionAt(4)},
 			want: replica.VersionRule{Mode: replica.OldVersions, Target: "v3", Excluded: []string{"v2"}, TargetIfAlone: true},
 		},
 		"directive of an earlier decider": {
-			order: order, status: Status{State: Running, Target: "v2", Revision: 9}, directive: Directive{Target: "v2", Revision: 8, Share: 1, Phase: Ramp},
+			order: order, status: Status{State: Running, Target: "v2", Revision: revisionAt(9)}, directive: Directive{Target: "v2", Revision: revisionAt(8), Share: 1, Phase: Ramp},
 			want: replica.VersionRule{Mode: replica.OldVersions, Target: "v2", TargetIfAlone: true},
 		},
 	} {
@@ -615,21 +630,21 @@
 // Guards against a version that was rolled back and is used again: a read or a write of the
 // status that began before ends after the rollback is known from the changes of the store.
 func TestDelayedResultDoesNotUndoRollback(t *testing.T) {
-	rolledBack := Status{State: RolledBack, Target: "v2", Decider: "e", Revision: 9}
+	rolledBack := Status{State: RolledBack, Target: "v2", Decider: "e", Revision: revisionAt(9)}
 	for name, c := range map[string]struct {
 		result Status
 		want   Status
 	}{
 		"no status yet":   {Status{}, rolledBack},
-		"earlier status":  {Status{State: Running, Target: "v2", Decider: "e", Revision: 5}, rolledBack},
+		"earlier status":  {Status{State: Running, Target: "v2", Decider: "e", Revision: revisionAt(5)}, rolledBack},
 		"the same status": {rolledBack, rolledBack},
-		"a later status":  {Status{State: Completed, Target: "v2", Decider: "e", Revision: 12}, Status{State: Completed, Target: "v2", Decider: "e", Revision: 12}},
-		"removed status":  {Status{State: Running, Target: "v2", Decider: "e", Revision: 5}, Status{}},
+		"a later status":  {Status{State: Completed, Target: "v2", Decider: "e", Revision: revisionAt(12)}, Status{State: Completed, Target: "v2", Decider: "e", Revision: revisionAt(12)}},
+		"removed status":  {Status{State: Running, Target: "v2", Decider: "e", Revision: revisionAt(5)}, Status{}},
 	} {
 		for _, read := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, read %v", name, read), func(t *testing.T) {
 				r := New(simService, "d", simSettings)
-				r.SetOrder(1000, &Order{Target: "v2", Duration: clock.Minute, Revision: 3})
+				r.SetOrder(1000, &Order{Target: "v2", Duration: clock.Minute, Revision: revisionAt(3)})
 				now := requireAction(t, r, 1000, WriteStatus)
 				handle := r.HandleWrite
 				if read {
@@ -637,7 +652,7 @@
 					now, handle = requireAction(t, r, now, ReadStatus), r.HandleRead
 				}
 				r.SetStatus(now, rolledBack, 0)
-				if c.want.Revision == 0 {
+				if c.want.Revision.IsZero() {
 					r.SetStatus(now, Status{}, 0)
 				}
 				handle(now+100, Result{Known: true, Status: c.result}, 0)
@@ -663,9 +678,9 @@
 // Guards against an order that is changed midway and leaves the first version in use.
 func TestOrderChangedMidway(t *testing.T) {
 	s := newFleetSim(t, 3, 5)
-	s.setOrder(&Order{Target: "v2", Duration: 60 * clock.Second, Revision: 1})
+	s.setOrder(&Order{Target: "v2", Duration: 60 * clock.Second, Revision: revisionAt(1)})
 	s.run(10*clock.Second, nil)
-	s.setOrder(&Order{Target: "v3", Duration: 60 * clock.Second, Revision: s.status.Revision + 1})
+	s.setOrder(&Order{Target: "v3", Duration: 60 * clock.Second, Revision: s.nextRevision()})
 	s.run(3*clock.Second, nil)
 	assert.Equal(t, Running, s.status.State)
 	assert.Equal(t, "v3", s.status.Target)
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -89,23 +89,26 @@
 	Watch(ctx context.Context, prefix string, after uint64, wait clock.Millis) (Page, error)
 	// Put writes the value of a key.
 	Put(ctx context.Context, key string, value []byte) error
-	// Get returns the item of a key, and false if there is none. Get and CompareAndSwap
-	// may be called by several goroutines.
-	Get(ctx context.Context, key string) (mirror.Item, bool, error)
+	// Get returns the item of a key, or a removal with the number 0 if there is none. Its
+	// revision has the era that the store states. Get and CompareAndSwap may be called by
+	// several goroutines.
+	Get(ctx context.Context, key string) (mirror.Item, error)
 	// CompareAndSwap writes the value of a key if all expectations hold, and returns its
-	// revision. Otherwise the error is marked with ErrConflict, and the items are the
-	// current ones of the expected keys. After another error the write may have taken
-	// effect, or may do so later.
-	CompareAndSwap(ctx context.Context, expected []Expectation, key string, value []byte) (uint64, []mirror.Item, error)
+	// revision in the era that the store states. The store compares numbers only. Otherwise
+	// the error is marked with ErrConflict, the items are the current ones of the expected keys,
+	// and the revision has the number 0. After another error the write may have taken effect, or
+	// may do so later.
+	CompareAndSwap(ctx context.Context, expected []Expectation, key string, value []byte) (mirror.Revision, []mirror.Item, error)
 }
 
 // ErrConflict means that a key has not the expected revision.
 var ErrConflict = errors.New("a key has not the expected revision")
 
-// Expectation states the revision that a key must have; 0 means that it does not exist.
+// Expectation states the revision that a key must have; the number 0 means that it does not
+// exist.
 type Expectation struct {
 	Key      string
-	Revision uint64
+	Revision mirror.Revision
 }
 
 // Interpreter decodes items of the store.
--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -396,6 +396,13 @@
 	s.callCounts[kind]++
 }
 
+// era returns the era of the mirror.
+func (s *mirrorSyncer) era() mirror.Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mirror.Revision().Era()
+}
+
 // restoreMetrics returns the era that the store states, the number of later restores that
 // were inferred, and the number of keys that still differ from the restored store.
 func (s *mirrorSyncer) restoreMetrics() (stated, inferred, retained int64) {
--- a/entry/gateway/releases.go
+++ b/entry/gateway/releases.go
@@ -12,6 +12,7 @@
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/fleet"
+	"github.com/lovagegap/lovagegap/core/mirror"
 	"github.com/lovagegap/lovagegap/core/release"
 	"github.com/lovagegap/lovagegap/entry/routing"
 )
@@ -142,12 +143,12 @@
 		}
 	case update.Order == nil:
 		if r := s.byService[update.Service]; r != nil {
-			s.log.Info("release order removed", "service", update.Service, "target", r.Target(), "revision", update.Revision)
+			s.log.Info("release order removed", "service", update.Service, "target", r.Target(), "revision", update.Revision.String())
 			r.SetOrder(now, nil)
 		}
 	default:
 		s.log.Info("release ordered", "service", update.Service, "target", update.Order.Target,
-			"duration", update.Order.Duration, "revision", update.Revision)
+			"duration", update.Order.Duration, "revision", update.Revision.String())
 		s.of(update.Service).SetOrder(now, update.Order)
 		s.notify()
 	}
@@ -209,6 +210,7 @@
 		s.deciders, s.members = s.readMembers()
 	}
 	_, storeAge, _ := s.gateway.mirrorSyncer.storeMetrics()
+	storeEra := s.gateway.mirrorSyncer.era()
 	type work struct {
 		service string
 		actions []release.Action
@@ -228,7 +230,7 @@
 		s.gateway.engine.SetVersionRule(service, r.Rule())
 		if r.Active() {
 			local := s.gateway.engine.ReleaseTraffic(service)
-			local.StoreAge, local.TimeOfDay = clock.Millis(storeAge), timeOfDay()
+			local.StoreAge, local.StoreEra, local.TimeOfDay = clock.Millis(storeAge), storeEra, timeOfDay()
 			all = append(all, work{service: service, actions: r.Tick(now, local)})
 			s.gateway.engine.SetVersionRule(service, r.Rule())
 		}
@@ -309,29 +311,39 @@
 	}
 }
 
+// errOutdatedWrite means that a write was planned before the store was restored.
+var errOutdatedWrite = errors.New("write planned in an earlier era of the store")
+
 func (s *releases) writeStatus(parent context.Context, service string, action release.Action) {
 	ctx, cancel := context.WithTimeout(parent, releaseCallTimeout)
 	defer cancel()
 	codec := s.gateway.dependencies.Releases
 	key := codec.StatusKey(service)
+	era := s.gateway.mirrorSyncer.era()
+	if action.Outdated(era) {
+		s.record("write", errOutdatedWrite)
+		s.finish(service, func(r *serviceRelease) []release.Action { return r.HandleWrite(s.now(), release.Result{}, timeOfDay()) })
+		return
+	}
 	revision, current, err := s.gateway.dependencies.Store.CompareAndSwap(ctx, []Expectation{
 		{Key: key, Revision: action.Expect}, {Key: codec.OrderKey(service), Revision: action.OrderRevision},
 	}, key, codec.EncodeStatus(action.Status))
-	s.log.Info("release status write", "service", service, "state", string(action.Status.State),
-		"target", action.Status.Target, "expected", action.Expect, "revision", revision, "error", errorText(err))
+	revision = revision.Resolve(era)
+	s.log.Info("release status write", "service", service, "state", string(action.Status.State), "target", action.Status.Target,
+		"expected", action.Expect.String(), "revision", revision.String(), "error", errorText(err))
 	s.record("write", err)
 	s.finish(service, func(r *serviceRelease) []release.Action {
 		var result release.Result
 		switch {
 		case err == nil:
-			result = release.Result{Known: true, Status: action.Status}
+			result = release.Result{Known: true, Era: revision.Era(), Status: action.Status}
 			result.Status.Revision = revision
 		case errors.Is(err, ErrConflict):
 			// The reply may list only the keys that differ from what was expected.
-			result = release.Result{Known: true, Status: r.Status()}
+			result = release.Result{Known: true, Era: revision.Era(), Status: r.Status()}
 			for _, item := range current {
 				if item.Key() == key {
-					result.Status = s.decodeStatus(s.gateway.dependencies.Interpreter.Updates(item))
+					result.Status = s.decodeStatus(item, era)
 				}
 			}
 		}
@@ -342,22 +354,29 @@
 func (s *releases) readStatus(parent context.Context, service string) {
 	ctx, cancel := context.WithTimeout(parent, releaseCallTimeout)
 	defer cancel()
-	item, found, err := s.gateway.dependencies.Store.Get(ctx, s.gateway.dependencies.Releases.StatusKey(service))
-	result := release.Result{Known: err == nil}
-	if err == nil && found {
-		result.Status = s.decodeStatus(s.gateway.dependencies.Interpreter.Updates(item))
+	era := s.gateway.mirrorSyncer.era()
+	item, err := s.gateway.dependencies.Store.Get(ctx, s.gateway.dependencies.Releases.StatusKey(service))
+	var result release.Result
+	if err == nil {
+		status := s.decodeStatus(item, era)
+		result = release.Result{Known: true, Era: status.Revision.Era(), Status: status}
 	}
 	s.record("read", err)
 	s.finish(service, func(r *serviceRelease) []release.Action { return r.HandleRead(s.now(), result, timeOfDay()) })
 }
 
-func (s *releases) decodeStatus(updates []routing.StoreUpdate) release.Status {
-	for _, update := range updates {
+// decodeStatus returns the status in a reply of the store to a call that began when an era was
+// known. An invalid one counts as absent.
+func (s *releases) decodeStatus(item mirror.Item, known mirror.Era) release.Status {
+	revision := item.Revision().Resolve(known)
+	for _, update := range s.gateway.dependencies.Interpreter.Updates(item) {
 		if update.Status != nil {
-			return update.Status.Status
+			status := update.Status.Status
+			status.Revision = revision
+			return status
 		}
 	}
-	return release.Status{}
+	return release.Status{Revision: mirror.NewRevision(revision.Era(), 0)}
 }
 
 // finish passes the result of a call to the state machine and puts its rule in force.
@@ -382,6 +401,8 @@
 		kind += ".ok"
 	case errors.Is(err, ErrConflict):
 		kind += ".conflict"
+	case errors.Is(err, errOutdatedWrite):
+		kind += ".outdated"
 	default:
 		kind += ".failed"
 	}
--- a/entry/routing/release.go
+++ b/entry/routing/release.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/mirror"
 	"github.com/lovagegap/lovagegap/core/release"
 	"github.com/lovagegap/lovagegap/core/replica"
 )
@@ -9,13 +10,13 @@
 // OrderUpdate is a change of the order to release a version of a service.
 type OrderUpdate struct {
 	Service  string
-	Order    *release.Order // nil if the order was removed, or is invalid
-	Invalid  bool           // the last valid order stays in force
-	Revision uint64         // of the item
+	Order    *release.Order  // nil if the order was removed, or is invalid
+	Invalid  bool            // the last valid order stays in force
+	Revision mirror.Revision // of the item
 }
 
-// StatusUpdate is a change of the status of a release. The zero status means that it was
-// removed.
+// StatusUpdate is a change of the status of a release. A status without a target means that it
+// was removed.
 type StatusUpdate struct {
 	Service string
 	Status  release.Status
