release: what a restored store has lost of a status stays in effect and is written again

Callers would see: after the store was restored from an older copy, requests run on a version that was rolled back, or on old replicas although the release was completed and they may have stopped: the copy lacks the final state. Versions that earlier releases did not complete count as old ones again.

Cause: the status of the copy replaced the known one, 15 s after the restore, and nobody wrote the known one again: a daemon does nothing for a release that has ended.

The release holds the status that the store has, whose revision writes expect, apart from the one in effect: a final state of the same target, a status that the store lacks, and excluded versions outlive the restore. The decider writes them again, also without an order. While a lost order is only retained it waits.

Tests: the fleet's store accepts a write that expects no order if there is none, as the platform's does; before it refused all writes without an order.

--- a/core/release/decider.go
+++ b/core/release/decider.go
@@ -146,13 +146,12 @@
 // Tick returns what is due. It is called every 100 ms or so while the release is active.
 func (r *Release) Tick(now clock.Millis, local Local) []Action {
 	r.observeEra(local.StoreEra)
-	if r.status.Target == "" && local.StoreEra.Compare(r.status.Revision.Era()) > 0 {
+	if r.stored.Target == "" && local.StoreEra.Compare(r.stored.Revision.Era()) > 0 {
 		// Otherwise the changes of the store would have brought it.
-		r.status.Revision = mirror.NewRevision(local.StoreEra, 0)
+		r.setStored(Status{Revision: mirror.NewRevision(local.StoreEra, 0)})
 	}
 	if !r.Active() {
-		r.decision.stop()
-		return nil
+		return r.rewrite(now, local)
 	}
 	var actions []Action
 	phase, revision := r.phaseInForce(now)
@@ -168,11 +167,7 @@
 		actions = append(actions, Action{Kind: PublishReport, Report: report})
 	}
 	r.ReceiveReport(now, r.self, report)
-	if now > r.tickedAt+maxPause {
-		r.decision.stop()
-		r.followedSince = now
-	}
-	r.tickedAt = now
+	r.recordTick(now)
 	if !r.first {
 		r.decision.stop()
 		return actions
@@ -180,6 +175,15 @@
 	return append(actions, r.decide(now, local)...)
 }
 
+// recordTick begins to follow the release anew after a pause.
+func (r *Release) recordTick(now clock.Millis) {
+	if now > r.tickedAt+maxPause {
+		r.decision.stop()
+		r.followedSince = now
+	}
+	r.tickedAt = now
+}
+
 // reportDue reports whether to publish the report. Daemons that take part in the trial
 // publish all of them, the others changes of what delays the completion.
 func (r *Release) reportDue(now clock.Millis, report Report) bool {
@@ -204,15 +208,15 @@
 		return nil
 	}
 	var actions []Action
-	if r.status.Target != r.target || r.status.State != Running || r.status.Decider != r.self {
+	if r.status.Target != r.target || r.status.State != Running || r.status.Decider != r.self || r.lost() {
 		d.phaseAt = 0
-		if r.status.Target == r.target && r.ownedAt > 0 && now < r.ownedAt+contentionDelay {
+		if r.stored.Target == r.target && r.ownedAt > 0 && now < r.ownedAt+contentionDelay {
 			return nil // another daemon decides too; the two must not write in turns
 		}
 		// The write makes sure that no earlier decider can still change the status.
 		if d.pending == nil || d.pending.State != Running || d.pending.Target != r.target {
 			d.want(Status{
-				State: Running, Target: r.target, Excluded: r.excluded(r.target), Decider: r.self,
+				State: Running, Target: r.target, Excluded: r.status.excludedFor(r.target), Decider: r.self,
 				StartedAt: local.TimeOfDay - int64(now-r.startedAt),
 			})
 		}
@@ -443,7 +447,10 @@
 	if d.pending == nil || d.inFlight || now < d.retryAt {
 		return nil
 	}
-	write := Action{Kind: WriteStatus, Status: *d.pending, Expect: r.status.expected(), OrderRevision: r.order.Revision}
+	write := Action{Kind: WriteStatus, Status: *d.pending, Expect: r.stored.expected(), OrderRevision: mirror.NewRevision(r.era, 0)}
+	if r.order != nil {
+		write.OrderRevision = r.order.Revision
+	}
 	switch {
 	case d.uncertain || write.Expect.Era().Compare(r.era) < 0:
 		write = Action{Kind: ReadStatus}
@@ -485,7 +492,7 @@
 // to be newer. An absent status has no revision.
 func (r *Release) appliesNow(status Status) bool {
 	return r.statusUpdates == r.decision.updatesBefore ||
-		r.status.Revision.Number() > 0 && r.status.Revision.Before(status.Revision)
+		r.stored.Revision.Number() > 0 && r.stored.Revision.Before(status.Revision)
 }
 
 func (r *Release) handleResult(now clock.Millis, result Result, timeOfDay int64) []Action {
@@ -505,13 +512,16 @@
 	if r.appliesNow(result.Status) {
 		r.setStatus(now, result.Status, timeOfDay)
 	}
-	if d.pending == nil || !d.pending.Equal(r.status) {
+	if d.pending == nil || !d.pending.Equal(r.stored) {
 		// Another decider or an order came first. The next Tick decides anew.
 		d.pending, d.retryAt = nil, now+writeRetryInterval
+		if r.order == nil {
+			d.retryAt = now + rewriteInterval
+		}
 		return nil
 	}
 	d.pending = nil
-	if r.status.State == Running {
+	if r.stored.State == Running && r.stored.Decider == r.self {
 		r.ownedAt = now
 	}
 	return []Action{r.logPhase("release " + string(r.status.State))}
--- a/core/release/release.go
+++ b/core/release/release.go
@@ -6,6 +6,9 @@
 // new version gets. The status of the release, running, completed or rolled back, is
 // written to the platform's store by compare-and-swap, and outlives all daemons.
 //
+// The store may be restored from an older copy. What it has lost of a status stays in effect,
+// and the decider writes it again.
+//
 // Each daemon also bounds the requests that it sends to an unproven version by its own
 // traffic, so that the bound on the fleet's exposure does not depend on messages.
 //
@@ -81,15 +84,6 @@
 		s.StartedAt == other.StartedAt && slices.Equal(s.Excluded, other.Excluded)
 }
 
-// expected returns the revision on condition of which the status can be written. Its number is
-// 0 if the store has no status.
-func (s Status) expected() mirror.Revision {
-	if s.Target == "" {
-		return mirror.NewRevision(s.Revision.Era(), 0)
-	}
-	return s.Revision
-}
-
 // maxExcluded bounds the versions that a status lists as rolled back.
 const maxExcluded = 8
 
@@ -219,7 +213,9 @@
 	settings      Settings
 
 	order         *Order
-	status        Status
+	status        Status     // in effect
+	stored        Status     // in the store
+	kept          Status     // in effect before the last restore, until the store has caught up
 	statusUpdates uint64     // calls of SetStatus so far
 	era           mirror.Era // latest known one of the store
 	inherited     bool       // the release ran for inheritedAge before this daemon heard of it
@@ -266,14 +262,22 @@
 	}
 }
 
-// Status returns the known status.
+// Status returns the status in effect.
 func (r *Release) Status() Status { return r.status }
 
+// Stored returns the status that the store has as far as known. It differs from the one in
+// effect if the store was restored from an older copy.
+func (r *Release) Stored() Status { return r.stored }
+
 // Active reports whether an order is being carried out.
 func (r *Release) Active() bool {
 	return r.order != nil && !(r.status.Target == r.order.Target && r.status.State.Terminal())
 }
 
+// Working reports whether Tick has something to do: an order is being carried out, or the
+// store has lost something of the status.
+func (r *Release) Working() bool { return r.Active() || r.lost() }
+
 // SetOrder sets the order in force, or nil if it was removed. An order for the same
 // version does not restart the release.
 func (r *Release) SetOrder(now clock.Millis, order *Order) {
@@ -284,6 +288,7 @@
 	if order == nil {
 		r.decision.stop()
 	}
+	r.updateStatus()
 }
 
 // start begins with a target version.
@@ -309,13 +314,13 @@
 }
 
 func (r *Release) setStatus(now clock.Millis, status Status, timeOfDay int64) {
-	absent := status.Revision.Number() == 0 && status.Revision.Era().Compare(r.status.Revision.Era()) >= 0
-	if status.Revision.Before(r.status.Revision) && !absent {
+	absent := status.Revision.Number() == 0 && status.Revision.Era().Compare(r.stored.Revision.Era()) >= 0
+	if status.Revision.Before(r.stored.Revision) && !absent {
 		return
 	}
 	r.observeEra(status.Revision.Era())
 	first := r.status.Target == ""
-	r.status = status
+	r.setStored(status)
 	if status.State == Running && status.Target == r.target && first && status.Decider != r.self {
 		// After a restart of this daemon the time continues. The time of day may have
 		// jumped, so the elapsed time is bounded by the duration.
@@ -430,7 +435,7 @@
 	target := r.Target()
 	current := r.status.Target == target
 	rule := replica.VersionRule{
-		Mode: replica.OldVersions, Target: target, Excluded: r.excluded(target),
+		Mode: replica.OldVersions, Target: target, Excluded: r.status.excludedFor(target),
 		TargetIfAlone: r.Active() && !r.rejected,
 	}
 	switch {
@@ -454,16 +459,6 @@
 	return rule
 }
 
-// excluded returns the versions that earlier releases did not complete.
-func (r *Release) excluded(target string) []string {
-	excluded := r.status.Excluded
-	if r.status.Target != "" && r.status.State != Completed && r.status.Target != target {
-		excluded = append(slices.Clone(excluded), r.status.Target)
-	}
-	excluded = slices.DeleteFunc(slices.Clone(excluded), func(version string) bool { return version == target })
-	return excluded[max(0, len(excluded)-maxExcluded):]
-}
-
 // phaseInForce returns the phase of the directive that the daemon obeys, and the revision of
 // that directive.
 func (r *Release) phaseInForce(now clock.Millis) (Phase, mirror.Revision) {
--- a/core/release/release_test.go
+++ b/core/release/release_test.go
@@ -34,9 +34,11 @@
 	order   *Order
 	status  Status
 	era     mirror.Era
-	history []State // that the store has held
-	calls   int
-	reports int // published
+	// retained is the order that the daemons know and a restored store lacks, or nil.
+	retained *Order
+	history  []State // that the store has held
+	calls    int
+	reports  int // published
 	// loseReplies applies writes without a reply; silent answers no call.
 	loseReplies, silent bool
 	rate                float64 // requests per second of the fleet
@@ -147,12 +149,12 @@
 func (s *fleetSim) step(d *simDaemon) {
 	if !s.silent && !d.cut {
 		d.storeSeenAt, d.seenEra = s.now, s.era
-		if d.seenOrder != s.order {
-			d.seenOrder = s.order
-			if s.order != nil && s.order.Target != d.Target() {
+		if order := s.knownOrder(); d.seenOrder != order {
+			d.seenOrder = order
+			if order != nil && order.Target != d.Target() {
 				clear(d.cells)
 			}
-			d.SetOrder(s.now, s.order)
+			d.SetOrder(s.now, order)
 		}
 		d.SetStatus(s.now, s.status, s.timeOfDay())
 	}
@@ -220,7 +222,11 @@
 		d.HandleWrite(s.now, Result{}, s.timeOfDay())
 		return
 	}
-	if s.status.Revision.Number() == action.Expect.Number() && s.order != nil && s.order.Revision.Number() == action.OrderRevision.Number() {
+	orderNumber := uint64(0)
+	if s.order != nil {
+		orderNumber = s.order.Revision.Number()
+	}
+	if s.status.Revision.Number() == action.Expect.Number() && orderNumber == action.OrderRevision.Number() {
 		revision := s.nextRevision()
 		s.status = action.Status
 		s.status.Revision = revision
@@ -289,6 +295,30 @@
 	}
 }
 
+// knownOrder returns the order that daemons know.
+func (s *fleetSim) knownOrder() *Order {
+	if s.retained != nil {
+		return s.retained
+	}
+	return s.order
+}
+
+// restore replaces the store by a copy with another status, which lacks the order if order
+// is nil.
+func (s *fleetSim) restore(status Status, order *Order) {
+	s.era = mirror.NewEra(s.era.Stated()+1, 0)
+	if order == nil {
+		s.retained = s.order
+	}
+	s.status, s.order = status, nil
+	s.status.Revision = mirror.NewRevision(s.era, status.Revision.Number())
+	if order != nil {
+		copied := *order
+		copied.Revision = mirror.NewRevision(s.era, order.Revision.Number())
+		s.order = &copied
+	}
+}
+
 // nextRevision returns the revision of the next write to the store.
 func (s *fleetSim) nextRevision() mirror.Revision {
 	last := s.status.Revision.Number()
--- /dev/null
+++ b/core/release/restore.go
@@ -0,0 +1,103 @@
+package release
+
+import (
+	"slices"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/mirror"
+)
+
+// rewriteInterval is the least time between two writes of a status without an order, which
+// fail while the store has an order that this daemon doesn't know.
+const rewriteInterval = 5 * clock.Second
+
+// expected returns the revision on condition of which the status can be written. Its number is
+// 0 if the store has no status.
+func (s Status) expected() mirror.Revision {
+	if s.Target == "" {
+		return mirror.NewRevision(s.Revision.Era(), 0)
+	}
+	return s.Revision
+}
+
+// excludedFor returns the versions that this release and earlier ones did not complete, for a
+// release of a target.
+func (s Status) excludedFor(target string) []string {
+	excluded := s.Excluded
+	if s.Target != "" && s.State != Completed && s.Target != target {
+		excluded = append(slices.Clone(excluded), s.Target)
+	}
+	excluded = slices.DeleteFunc(slices.Clone(excluded), func(version string) bool { return version == target })
+	return excluded[max(0, len(excluded)-maxExcluded):]
+}
+
+// over returns the status in effect when the store, which was restored from an older copy, has
+// the stored one, and s was in effect before. The stored one is in effect if it says as much
+// about the same target, or if the order in force has gone back to its target. Ordered is the
+// target of that order, or "".
+func (s Status) over(stored Status, ordered string) Status {
+	switch {
+	case s.Target == "":
+	case stored.Target == s.Target && (stored.State.Terminal() || !s.State.Terminal()):
+	case stored.Target != "" && stored.Target != s.Target && stored.Target == ordered:
+	default:
+		return s
+	}
+	excluded := slices.Clone(stored.Excluded)
+	if s.State == Completed {
+		excluded = slices.DeleteFunc(excluded, func(version string) bool { return version == s.Target })
+	}
+	for _, version := range s.excludedFor(stored.Target) {
+		if len(excluded) < maxExcluded && !slices.Contains(excluded, version) {
+			excluded = append(excluded, version)
+		}
+	}
+	stored.Excluded = excluded
+	return stored
+}
+
+// setStored sets the status that the store has, and the one that is in effect.
+func (r *Release) setStored(status Status) {
+	switch later := status.Revision.Era().Compare(r.stored.Revision.Era()) > 0; {
+	case later && r.kept.Target == "":
+		r.kept = r.status
+	case later: // a second restore
+	case status.Target != "" && status.Target != r.kept.Target && r.stored.Revision.Before(status.Revision):
+		// It was written since the restore.
+		r.kept = Status{Excluded: r.kept.excludedFor(status.Target)}
+	}
+	r.stored = status
+	r.updateStatus()
+}
+
+// updateStatus sets the status in effect from the stored one, and from the one of before the
+// last restore until the store has caught up with it.
+func (r *Release) updateStatus() {
+	ordered := ""
+	if r.order != nil {
+		ordered = r.order.Target
+	}
+	r.status = r.kept.over(r.stored, ordered)
+	r.status.Revision = r.stored.Revision
+	if !r.lost() {
+		r.kept = Status{}
+	}
+}
+
+// lost reports whether a restored store lacks something of the status in effect.
+func (r *Release) lost() bool { return !r.status.Equal(r.stored) }
+
+// rewrite returns the call that writes the status in effect to a restored store, if it is due,
+// while no order is being carried out.
+func (r *Release) rewrite(now clock.Millis, local Local) []Action {
+	r.recordTick(now)
+	if !r.lost() || !r.first {
+		r.decision.stop()
+		return nil
+	}
+	if now < r.followedSince+settleTime || local.StoreAge > maxStoreAge {
+		return nil
+	}
+	r.decision.want(r.status)
+	return r.write(now)
+}
--- a/core/release/restore_test.go
+++ b/core/release/restore_test.go
@@ -214,3 +214,224 @@
 	assert.Equal(t, inEra(2, 40), write.Expect)
 	assert.Equal(t, inEra(2, 56), write.OrderRevision, "an invalid order leaves the earlier one in force")
 }
+
+// Guards against a status that goes back with the copy from which the store was restored: a
+// final state that runs again, and an unproven version that counts as one of the old ones.
+func TestStatusInEffectAfterRestore(t *testing.T) {
+	running := Status{State: Running, Target: "v2", Decider: "e", Excluded: []string{"v0"}}
+	completed := Status{State: Completed, Target: "v2", Decider: "e", Excluded: []string{"v0"}}
+	rolledBack := Status{State: RolledBack, Target: "v2", Decider: "e", Excluded: []string{"v0"}}
+	for name, c := range map[string]struct {
+		known, stored Status
+		ordered       string
+		want          Status
+	}{
+		"nothing known":                  {Status{}, running, "v2", running},
+		"same":                           {completed, completed, "v2", completed},
+		"running, other decider":         {running, Status{State: Running, Target: "v2", Decider: "f", Excluded: []string{"v0"}}, "v2", Status{State: Running, Target: "v2", Decider: "f", Excluded: []string{"v0"}}},
+		"running is missing":             {running, Status{}, "v2", running},
+		"running is completed":           {running, completed, "v2", completed},
+		"completed runs":                 {completed, running, "v2", completed},
+		"rolled back runs":               {rolledBack, running, "v2", rolledBack},
+		"completed is missing":           {completed, Status{}, "v2", completed},
+		"completed is missing, no order": {completed, Status{}, "", completed},
+		"final state of the new era":     {completed, rolledBack, "v2", rolledBack},
+		"earlier release":                {rolledBack, Status{State: Completed, Target: "v1"}, "v2", rolledBack},
+		"earlier release, no order":      {completed, Status{State: Completed, Target: "v1"}, "", completed},
+		"earlier release ordered again": {
+			rolledBack, Status{State: Running, Target: "v1", Excluded: []string{"v3"}}, "v1",
+			Status{State: Running, Target: "v1", Excluded: []string{"v3", "v0", "v2"}},
+		},
+		"earlier release ordered after completion": {
+			completed, Status{State: Running, Target: "v1", Excluded: []string{"v2"}}, "v1", Status{State: Running, Target: "v1", Excluded: []string{"v0"}},
+		},
+		"excluded versions are missing": {
+			running, Status{State: Running, Target: "v2", Decider: "f"}, "v2", Status{State: Running, Target: "v2", Decider: "f", Excluded: []string{"v0"}},
+		},
+		"next order": {rolledBack, Status{State: Completed, Target: "v1"}, "v3", rolledBack},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := New(simService, "d", simSettings)
+			if c.known.Target != "" {
+				c.known.Revision = inEra(1, 95)
+				r.SetStatus(1000, c.known, 0)
+			}
+			if c.ordered != "" {
+				r.SetOrder(1000, &Order{Target: c.ordered, Duration: clock.Minute, Revision: inEra(2, 30)})
+			}
+			c.stored.Revision = inEra(2, 40)
+			for range 2 { // a second restore changes nothing
+				r.SetStatus(2000, c.stored, 0)
+				assert.True(t, c.want.Equal(r.Status()), "%+v", r.Status())
+				assert.Equal(t, c.stored.Revision, r.Status().Revision)
+				assert.Equal(t, c.stored, r.Stored())
+				c.stored.Revision = inEra(3, 40)
+			}
+			if c.stored.Target != "" {
+				written := Status{State: Running, Target: "v9", Revision: inEra(3, 41)}
+				r.SetStatus(3000, written, 0)
+				assert.Equal(t, "v9", r.Status().Target, "written since")
+			}
+		})
+	}
+}
+
+// Guards against a final state that the store has lost and nobody writes again, that all
+// daemons write, or that is not in effect meanwhile.
+func TestLostFinalStateIsWrittenAgain(t *testing.T) {
+	for _, want := range []State{Completed, RolledBack} {
+		for name, copied := range map[string]Status{
+			"missing":         {},
+			"running":         {State: Running, Target: "v2", Decider: "d0", Revision: revisionAt(2)},
+			"earlier release": {State: Completed, Target: "v1", Revision: revisionAt(1)},
+		} {
+			for orderName, restore := range map[string]func(s *fleetSim, status Status){
+				"order in the copy": func(s *fleetSim, status Status) { s.restore(status, s.order) },
+				"order removed": func(s *fleetSim, status Status) {
+					s.setOrder(nil)
+					s.run(clock.Second, nil)
+					s.restore(status, nil)
+				},
+				"order lost": func(s *fleetSim, status Status) {
+					s.restore(status, nil)
+					s.run(6*clock.Second, func() bool {
+						assert.Equal(s.t, status.State, s.status.State, "the write would need the order")
+						return false
+					})
+					s.retained = nil
+				},
+				"order written again": func(s *fleetSim, status Status) {
+					order := *s.order
+					s.restore(status, nil)
+					s.run(6*clock.Second, nil)
+					order.Revision = s.nextRevision()
+					s.retained, s.order = nil, &order
+				},
+			} {
+				t.Run(string(want)+"/"+name+"/"+orderName, func(t *testing.T) {
+					s := newFleetSim(t, 7, 6)
+					if want == RolledBack {
+						s.failing = func() float64 { return 0.6 }
+					}
+					s.setOrder(&Order{Target: "v2", Duration: 20 * clock.Second, Revision: revisionAt(1)})
+					s.run(20*clock.Second, s.ended)
+					require.Equal(t, want, s.status.State)
+					final := s.status
+					s.run(clock.Second, nil)
+					s.calls, s.history = 0, nil
+					mode := map[State]replica.VersionMode{Completed: replica.TargetOnly, RolledBack: replica.OldVersions}[want]
+					check := func() bool {
+						for _, d := range s.daemons {
+							assert.Equal(t, want, d.Status().State)
+							assert.Equal(t, mode, d.Rule().Mode)
+						}
+						return !t.Failed() && s.status.Equal(final)
+					}
+					restore(s, copied)
+					s.run(4*clock.Second, check)
+					assert.True(t, s.status.Equal(final), "%+v", s.status)
+					s.run(10*clock.Second, func() bool { check(); return false })
+					assert.Equal(t, []State{want}, s.history)
+					assert.Equal(t, 1, s.calls, "calls of the store")
+				})
+			}
+		}
+	}
+}
+
+// Guards against daemons that all write what the store has lost, and against one that writes
+// before it can have heard of a later status.
+func TestOnlyDeciderWritesLostStatus(t *testing.T) {
+	writers := 0
+	for _, self := range []string{"d", "e", "f"} {
+		r := New(simService, self, simSettings)
+		members := []string{"d", "e", "f"}
+		r.SetMembers(members, members)
+		r.SetOrder(1000, &Order{Target: "v2", Duration: clock.Minute, Revision: inEra(1, 90)})
+		r.SetStatus(1000, Status{State: RolledBack, Target: "v2", Revision: inEra(1, 95)}, 0)
+		assert.False(t, r.Working())
+		r.SetOrder(9000, &Order{Target: "v2", Duration: clock.Minute, Revision: inEra(2, 90)})
+		r.SetStatus(9000, Status{Revision: inEra(2, 94)}, 0)
+		assert.True(t, r.Working())
+		assert.Empty(t, callsUntil(r, 9000, 9000+settleTime, mirror.NewEra(2, 0)))
+		calls := callsUntil(r, 9000+settleTime, 12_000, mirror.NewEra(2, 0))
+		if len(calls) > 0 {
+			writers++
+			assert.Len(t, calls, 1)
+			assert.Equal(t, inEra(2, 0), calls[0].Expect)
+			assert.Equal(t, inEra(2, 90), calls[0].OrderRevision)
+			assert.Equal(t, RolledBack, calls[0].Status.State)
+		}
+	}
+	assert.Equal(t, 1, writers)
+}
+
+// Guards against a write that is sent each second although the store has an order that the
+// mirror doesn't show yet.
+func TestConflictWithoutOrderIsNotRepeatedOften(t *testing.T) {
+	era := mirror.NewEra(2, 0)
+	r := New(simService, "d", simSettings)
+	r.SetStatus(1000, Status{State: Completed, Target: "v2", Revision: inEra(1, 95)}, 0)
+	r.SetStatus(2000, Status{Revision: inEra(2, 94)}, 0)
+	writes := 0
+	for now := clock.Millis(2000); now < 17_000; now += simTick {
+		for _, call := range callsUntil(r, now, now+1, era) {
+			writes++
+			assert.Equal(t, inEra(2, 0), call.OrderRevision)
+			r.HandleWrite(now, Result{Known: true, Era: era, Status: r.Stored()}, 0)
+		}
+	}
+	assert.Positive(t, writes)
+	assert.LessOrEqual(t, writes, 3)
+	assert.Equal(t, Completed, r.Status().State)
+}
+
+// Guards against a release that ends wrongly, late or not at all because the store was
+// restored while it was running.
+func TestReleaseSurvivesRestore(t *testing.T) {
+	const duration = 40 * clock.Second
+	for phase, reached := range map[string]func(s *fleetSim) bool{
+		"trial": func(s *fleetSim) bool { return s.now > 9*clock.Second },
+		"ramp":  func(s *fleetSim) bool { return s.daemons[0].directive.Phase == Ramp },
+		"drain": func(s *fleetSim) bool { return s.daemons[0].directive.Phase == Drain },
+	} {
+		for name, restore := range map[string]func(s *fleetSim){
+			"status in the copy": func(s *fleetSim) { s.restore(s.status, s.order) },
+			"status lost":        func(s *fleetSim) { s.restore(Status{}, s.order) },
+			"order and status lost": func(s *fleetSim) {
+				order := *s.order
+				s.restore(Status{}, nil)
+				s.run(2*clock.Second, nil)
+				order.Revision = s.nextRevision()
+				s.retained, s.order = nil, &order
+			},
+			"twice": func(s *fleetSim) {
+				s.restore(Status{}, s.order)
+				s.run(2*clock.Second, nil)
+				s.restore(Status{}, s.order)
+			},
+		} {
+			for want, failing := range map[State]float64{Completed: 0, RolledBack: 0.5} {
+				t.Run(phase+"/"+name+"/"+string(want), func(t *testing.T) {
+					s := newFleetSim(t, 11, 8)
+					s.setOrder(&Order{Target: "v2", Duration: duration, Revision: revisionAt(1)})
+					ordered := s.now
+					s.run(duration, func() bool { return reached(s) })
+					require.Equal(t, Running, s.status.State)
+					s.failing = func() float64 { return failing }
+					restore(s)
+					s.run(2*clock.Second, nil)
+					assert.Equal(t, "v2", s.status.Target, "what the store has lost is written again")
+					s.run(ordered+duration-s.now, s.ended)
+					if phase != "drain" || want == Completed { // a version that fails in the drain only may be found good
+						assert.Equal(t, want, s.status.State)
+					}
+					assert.True(t, s.ended())
+					assert.Zero(t, s.oldAtCompletion)
+					assert.LessOrEqual(t, s.calls, 8, "calls of the store")
+					assert.Equal(t, s.era, s.status.Revision.Era())
+				})
+			}
+		}
+	}
+}
--- a/entry/gateway/releases.go
+++ b/entry/gateway/releases.go
@@ -188,7 +188,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range s.byService {
-		if r.Active() {
+		if r.Working() {
 			return false, false
 		}
 	}
@@ -228,7 +228,7 @@
 		}
 		r.SetMembers(s.deciders, s.members)
 		s.gateway.engine.SetVersionRule(service, r.Rule())
-		if r.Active() {
+		if r.Working() {
 			local := s.gateway.engine.ReleaseTraffic(service)
 			local.StoreAge, local.StoreEra, local.TimeOfDay = clock.Millis(storeAge), storeEra, timeOfDay()
 			all = append(all, work{service: service, actions: r.Tick(now, local)})
@@ -340,7 +340,7 @@
 			result.Status.Revision = revision
 		case errors.Is(err, ErrConflict):
 			// The reply may list only the keys that differ from what was expected.
-			result = release.Result{Known: true, Era: revision.Era(), Status: r.Status()}
+			result = release.Result{Known: true, Era: revision.Era(), Status: r.Stored()}
 			for _, item := range current {
 				if item.Key() == key {
 					result.Status = s.decodeStatus(item, era)
