release: a decider that has just started learns final states that the store has lost

Callers would see: if the decider starts after the store was restored from a copy without the final state of a release, the release runs again on this daemon, while the others use the final state; at its end the version may be rolled back although the old replicas have stopped.

Cause: only daemons that ran before the restore know the final state, and only the decider writes.

Change: while the store lacks a final state, daemons that know it state it in their reports. Those without a final state of the ordered version take it, if the report is of the era they know.

TestFinalStateOfReportIsChecked fails if the era is not compared.

--- a/core/release/release.go
+++ b/core/release/release.go
@@ -140,7 +140,9 @@
 	Exposed     uint64          `cbor:"6,keyasint"` // requests sent to the new version
 	OldInFlight int             `cbor:"7,keyasint"`
 	Targets     int             `cbor:"8,keyasint"` // usable replicas of the new version
-	Cells       []Cell          `cbor:"-"`
+	// Final is the final state that this daemon knows and a restored store lacks, or "".
+	Final State  `cbor:"13,keyasint,omitempty"`
+	Cells []Cell `cbor:"-"`
 }
 
 const (
@@ -374,6 +376,9 @@
 		r.reports[daemon] = held
 	}
 	held.report, held.at = report, now
+	if report.Final.Terminal() && report.Revision.Era().Compare(r.era) == 0 {
+		r.learnFinal(report.Final, daemon)
+	}
 }
 
 // ReceiveDirective takes the directive of a decider that was published age ago. A directive is obeyed if
--- a/core/release/restore.go
+++ b/core/release/restore.go
@@ -87,17 +87,46 @@
 // lost reports whether a restored store lacks something of the status in effect.
 func (r *Release) lost() bool { return !r.status.Equal(r.stored) }
 
-// rewrite returns the call that writes the status in effect to a restored store, if it is due,
-// while no order is being carried out.
+// learnFinal takes a final state of the target that a daemon knows and the store has lost. This
+// daemon may have started since the restore.
+func (r *Release) learnFinal(state State, daemon string) {
+	if r.status.Target == r.target && r.status.State.Terminal() {
+		return
+	}
+	known := Status{State: state, Target: r.target, Excluded: r.status.excludedFor(r.target), Decider: daemon}
+	if r.status.Target == r.target {
+		known.Decider, known.StartedAt = r.status.Decider, r.status.StartedAt
+	}
+	r.kept = known
+	r.updateStatus()
+}
+
+// rewrite publishes the final state that a restored store has lost, and writes the status in
+// effect to the store if this daemon decides. It is for the time in which no order is being
+// carried out.
 func (r *Release) rewrite(now clock.Millis, local Local) []Action {
 	r.recordTick(now)
-	if !r.lost() || !r.first {
+	if !r.lost() {
 		r.decision.stop()
 		return nil
 	}
-	if now < r.followedSince+settleTime || local.StoreAge > maxStoreAge {
-		return nil
+	var actions []Action
+	if r.status.State.Terminal() {
+		report := Report{
+			Target: r.status.Target, DataCentre: local.DataCentre, Revision: r.stored.Revision, Draws: local.Draws, Exposed: local.Exposed,
+			OldInFlight: local.OldInFlight, Targets: local.Targets, Final: r.status.State,
+		}
+		if r.reportDue(now, report) {
+			r.reportAt, r.reported = now, report
+			actions = append(actions, Action{Kind: PublishReport, Report: report})
+		}
+	}
+	switch {
+	case !r.first:
+		r.decision.stop()
+	case now >= r.followedSince+settleTime && local.StoreAge <= maxStoreAge:
+		r.decision.want(r.status)
+		actions = append(actions, r.write(now)...)
 	}
-	r.decision.want(r.status)
-	return r.write(now)
+	return actions
 }
--- a/core/release/restore_test.go
+++ b/core/release/restore_test.go
@@ -435,3 +435,65 @@
 		}
 	}
 }
+
+// Guards against a release that runs again, and ends otherwise, since the store has lost its final
+// state and the decider has just started, so that only the others know it.
+func TestStartedDeciderLearnsLostFinalState(t *testing.T) {
+	for _, want := range []State{Completed, RolledBack} {
+		for name, copied := range map[string]Status{
+			"missing": {}, "running": {State: Running, Target: "v2", Decider: "d0", Revision: revisionAt(2)},
+		} {
+			t.Run(string(want)+"/"+name, func(t *testing.T) {
+				s := newFleetSim(t, 7, 6)
+				if want == RolledBack {
+					s.failing = func() float64 { return 0.6 }
+				}
+				s.setOrder(&Order{Target: "v2", Duration: 20 * clock.Second, Revision: revisionAt(1)})
+				s.run(20*clock.Second, s.ended)
+				require.Equal(t, want, s.status.State)
+				s.run(clock.Second, nil)
+				s.history = nil
+				s.restore(copied, s.order)
+				knows := s.daemons[0]
+				for i := range s.daemons[1:] {
+					s.restart(1 + i)
+				}
+				s.run(5*clock.Second, nil)
+				assert.Equal(t, want, s.status.State)
+				s.run(30*clock.Second, nil)
+				assert.Equal(t, []State{want}, s.history)
+				assert.NotSame(t, knows, s.decider())
+				for _, d := range s.daemons {
+					assert.Equal(t, want, d.Status().State)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a release that ends by a report of before a restore, of another version, or
+// with a state that isn't final.
+func TestFinalStateOfReportIsChecked(t *testing.T) {
+	for name, c := range map[string]struct {
+		report Report
+		want   State
+	}{
+		"final":           {Report{Target: "v2", Revision: inEra(2, 44), Final: RolledBack}, RolledBack},
+		"earlier era":     {Report{Target: "v2", Revision: inEra(1, 99), Final: RolledBack}, Running},
+		"later era":       {Report{Target: "v2", Revision: inEra(3, 1), Final: RolledBack}, Running},
+		"another version": {Report{Target: "v1", Revision: inEra(2, 44), Final: RolledBack}, Running},
+		"not final":       {Report{Target: "v2", Revision: inEra(2, 44)}, Running},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newOrdered()
+			r.SetStatus(1000, Status{State: Running, Target: "v2", Decider: "e", Revision: inEra(2, 45)}, 0)
+			decoded, err := DecodeReport(EncodeReport(c.report))
+			require.NoError(t, err)
+			assert.Equal(t, c.report, decoded)
+			r.ReceiveReport(2000, "f", decoded)
+			assert.Equal(t, c.want, r.Status().State)
+		})
+	}
+	_, err := DecodeReport(EncodeReport(Report{Target: "v2", Final: Running}))
+	assert.ErrorIs(t, err, ErrMalformed)
+}
--- a/core/release/wire.go
+++ b/core/release/wire.go
@@ -104,7 +104,7 @@
 	}
 	report := wire.Report
 	report.Revision = wire.Era.revision(wire.Number)
-	if report.Phase > Rejected || report.OldInFlight < 0 || report.Targets < 0 || len(wire.Cells) > maxCells {
+	if report.Phase > Rejected || !(report.Final == "" || report.Final.Terminal()) || report.OldInFlight < 0 || report.Targets < 0 || len(wire.Cells) > maxCells {
 		return Report{}, errors.Wrap(ErrMalformed, "report out of range")
 	}
 	for _, c := range wire.Cells {
