release: an earlier order that is back with a copy begins a new release after a completion

Callers would see: requests fail until the operators order again. The store is restored from a copy from before the order of the version that runs; with the copy the order and the final state of the earlier version are back, whose replicas have stopped.

Cause: the rule that the stored status counts if the order in force has gone back to its target. It held also if a later release was completed since.

Change: in that case the known status stays in effect, so that the order begins a new release, in which the version in use is an old one.

TestStatusInEffectAfterRestore: its case "earlier release ordered after completion" expected the rule above; it now has a completed status in the store and expects the known one.

Evidence: that case and TestEarlierOrderAfterCompletionIsNewRelease fail without the change: all daemons use only the earlier version.

--- a/core/release/restore.go
+++ b/core/release/restore.go
@@ -33,20 +33,18 @@
 
 // over returns the status in effect when the store, which was restored from an older copy, has
 // the stored one, and s was in effect before. The stored one is in effect if it says as much
-// about the same target, or if the order in force has gone back to its target. Ordered is the
-// target of that order, or "".
+// about the same target, or if the order in force has gone back to its target and s was not
+// completed. After a completion the replicas of that target may have stopped. Ordered is the
+// target of the order, or "".
 func (s Status) over(stored Status, ordered string) Status {
 	switch {
 	case s.Target == "":
 	case stored.Target == s.Target && (stored.State.Terminal() || !s.State.Terminal()):
-	case stored.Target != "" && stored.Target != s.Target && stored.Target == ordered:
+	case stored.Target != "" && stored.Target != s.Target && stored.Target == ordered && s.State != Completed:
 	default:
 		return s
 	}
 	excluded := slices.Clone(stored.Excluded)
-	if s.State == Completed {
-		excluded = slices.DeleteFunc(excluded, func(version string) bool { return version == s.Target })
-	}
 	for _, version := range s.excludedFor(stored.Target) {
 		if len(excluded) < maxExcluded && !slices.Contains(excluded, version) {
 			excluded = append(excluded, version)
