mirror: replies that end before the last page of a listing are ignored

Callers: a replica that has left is used again for up to a second, while the store is listed in pages, as by all daemons after it was restored.

Cause: the mirror gets the revision of the first page of a listing, but later pages were read at later ones. If a key was removed between the two, the listing doesn't have it. A reply that ends between them, of an overlapping watch or listing, a peer or the source, may hold an earlier write of the key, which was taken for new.

Change: the reader keeps the revision of the last page. A reply that ends before it, but not before the mirror, changes, dates and proves nothing; the next watch ends after it. A lower revision in the reply to a later call shows a restore, as one lower than the mirror's does.

Evidence: TestRepliesBeforeLastPageAreIgnored and TestRevisionBeforeLastPageShowsRestore fail without the change.

--- a/core/mirror/late_test.go
+++ b/core/mirror/late_test.go
@@ -213,3 +213,56 @@
 	r.HandlePage(r.Begin(r.Next(2000), 2000, 2000), 2010, []Item{item("b", 6)}, revisionAt(6), false)
 	assert.EqualValues(t, 1000, r.Age(2010), "as of the first page")
 }
+
+// newPagedReader returns a reader whose mirror is at revision 10. The last page of its listing was
+// read at 15, after the removal of b at 14.
+func newPagedReader() *Reader {
+	r := newTestReader(&Mirror{})
+	r.HandlePage(r.Begin(r.Next(0), 0, 0), 0, []Item{item("a", 1)}, revisionAt(10), true)
+	r.HandlePage(r.Begin(r.Next(10), 10, 10), 10, []Item{item("c", 15)}, revisionAt(15), false)
+	return r
+}
+
+// Guards against a replica that has left and is used again: a listing in pages shows that it is
+// gone, and a reply that ends before its last page has an earlier write of its key.
+func TestRepliesBeforeLastPageAreIgnored(t *testing.T) {
+	for name, handle := range map[string]func(r *Reader, items []Item, revision Revision) []Item{
+		"watch": func(r *Reader, items []Item, revision Revision) []Item {
+			return r.HandleEvents(Call{sentAt: 500}, 1000, items, revision)
+		},
+		"peer": func(r *Reader, items []Item, revision Revision) []Item {
+			return r.HandlePeerReply(1000, items, false, revision, 0)
+		},
+		"listing of a peer": func(r *Reader, items []Item, revision Revision) []Item {
+			return r.HandlePeerReply(1000, append(items, item("a", 1)), true, revision, 0)
+		},
+		"follow": func(r *Reader, items []Item, revision Revision) []Item {
+			return r.HandleFollowReply(1000, "p", items, false, revision, 0)
+		},
+		"earlier listing": func(r *Reader, items []Item, revision Revision) []Item {
+			r.RecordFailure(Call{kind: List}, 900, ErrCompacted)
+			return r.HandlePage(Call{listing: r.listingNumber}, 1000, append(items, item("a", 1)), revision, false)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newPagedReader()
+			assert.Empty(t, handle(r, []Item{item("b", 12)}, revisionAt(13)))
+			assert.Equal(t, revisionAt(10), r.mirror.Revision())
+			assert.EqualValues(t, 1000, r.Age(1000), "is not dated by it")
+			at, _ := r.ProvenAt()
+			assert.Zero(t, at)
+			assert.Contains(t, changedKeys(handle(r, []Item{item("c", 15), item("d", 16)}, revisionAt(16))), "d")
+		})
+	}
+}
+
+// Guards against replies that are ignored until the store has caught up, because it was restored to before
+// the last page of a listing and does not state it.
+func TestRevisionBeforeLastPageShowsRestore(t *testing.T) {
+	r := newPagedReader()
+	r.HandleEvents(r.Begin(r.Next(1110), 1110, 1110), 1110, []Item{item("d", 12)}, revisionAt(12))
+	call := r.Begin(r.Next(1110), 1110, 1110)
+	require.Equal(t, List, call.Kind())
+	r.HandlePage(call, 1120, []Item{item("d", 12)}, revisionAt(12), false)
+	assert.Equal(t, NewRevision(NewEra(0, 1), 12), r.mirror.Revision())
+}
--- a/core/mirror/reader.go
+++ b/core/mirror/reader.go
@@ -93,7 +93,7 @@
 	// Begin sets the following.
 	startedAt clock.Millis
 	sentAt    clock.Millis // the same on the clock that counts suspension
-	known     Revision     // of the mirror
+	known     Revision     // latest one that the mirror has changes of
 	era       Era          // latest one that was known
 }
 
@@ -142,6 +142,7 @@
 	listingRevision Revision     // of its first page
 	listingAsOf     clock.Millis // instant that its first page is dated at
 	listingNumber   int          // tells the pages of listings apart
+	listedThrough   Revision     // of the last page of the latest listing in the mirror
 	needsListing    bool
 	observedEra     Era                     // latest one that the store or another daemon has shown
 	callStartedAt   clock.Millis            // start of the latest call
@@ -216,7 +217,11 @@
 func (r *Reader) Begin(call Call, now, sentAt clock.Millis) Call {
 	r.callStartedAt = now
 	call.startedAt, call.sentAt = now, sentAt
-	call.known, call.era = r.mirror.Revision(), r.mirror.Revision().era
+	call.known = r.mirror.Revision()
+	if call.known.Before(r.listedThrough) {
+		call.known = r.listedThrough
+	}
+	call.era = call.known.era
 	if r.observedEra.Compare(call.era) > 0 {
 		call.era = r.observedEra
 	}
@@ -294,9 +299,14 @@
 		r.afterKey = items[len(items)-1].key
 		return nil
 	}
+	if r.endsWithinListing(r.listingRevision) {
+		r.resetListing()
+		return nil
+	}
 	previous := r.mirror.Revision()
 	changes := r.mirror.Replace(now, r.listing, r.listingRevision)
 	if !r.listingRevision.Before(previous) {
+		r.listedThrough = revision
 		r.prove(r.listingSentAt)
 	}
 	r.storeAsOf = max(r.storeAsOf, r.listingAsOf)
@@ -308,6 +318,14 @@
 	return changes
 }
 
+// endsWithinListing reports whether a reply ends at a revision from which on the mirror has
+// changes, but not all of them, because a listing came in several pages. The reply may hold
+// a write of a key that a later page has shown to be removed. The next watch ends after
+// the last page.
+func (r *Reader) endsWithinListing(revision Revision) bool {
+	return !revision.Before(r.mirror.Revision()) && revision.Before(r.listedThrough)
+}
+
 // resetListing ends the listing in progress. Later pages of it are ignored.
 func (r *Reader) resetListing() {
 	r.listingNumber++
@@ -333,6 +351,9 @@
 		// one, so that the reply lacks the changes up to it.
 		return nil
 	}
+	if r.endsWithinListing(revision) {
+		return nil
+	}
 	r.storeAsOf = max(r.storeAsOf, sent)
 	current := !revision.Before(r.mirror.Revision())
 	changes := r.mirror.Apply(now, stamp(events, revision.era), revision)
@@ -425,7 +446,7 @@
 		r.ObserveEra(now, revision.era)
 		return nil
 	}
-	if revision.Before(mirrored) || revision.IsZero() {
+	if revision.Before(mirrored) || revision.IsZero() || r.endsWithinListing(revision) {
 		return nil
 	}
 	if revision.era != mirrored.era {
@@ -445,8 +466,7 @@
 ) []Item {
 	if revision.IsZero() || age > maxSourceAge || revision.era.Compare(r.mirror.Revision().era) < 0 {
 		r.RecordSourceFailure(now, peer)
-	} else {
-		r.storeAnsweredAt = max(r.storeAnsweredAt, now-age)
+	} else if r.storeAnsweredAt = max(r.storeAnsweredAt, now-age); !r.endsWithinListing(revision) {
 		r.storeAsOf = max(r.storeAsOf, now-age)
 	}
 	return r.HandlePeerReply(now, items, complete, revision, age)
