gateway: daemons tell peers up to which revision their listing was read

A daemon that has listed the store in pages passes on a listing that lacks a key which was removed after its revision. The peer took it for the state at that revision, and an earlier write of the key for new.

Change: the reply of a daemon whose mirror is still before the last page of its listing states that revision (field 9, Through), and the peer treats later replies as if it had listed the store itself. Peers without the field go on as before.

Evidence: TestPeersKnowLastPage and TestPeerStatesLastPageOfListing can't be built without the change.

--- a/core/mirror/late_test.go
+++ b/core/mirror/late_test.go
@@ -256,6 +256,20 @@
 	}
 }
 
+// Guards against a replica that has left and is used again by a daemon that has read the mirror of a
+// peer while that listed the store in pages.
+func TestPeersKnowLastPage(t *testing.T) {
+	peer, r := newPagedReader(), newTestReader(&Mirror{})
+	items, complete, revision := peer.mirror.ChangesSince(Revision{})
+	r.HandlePeerReply(900, items, complete, revision, 0)
+	r.HandleListedThrough(revision, peer.ListedThrough())
+	assert.Empty(t, r.HandlePeerReply(1000, []Item{item("b", 12)}, false, revisionAt(13), 0))
+	r.HandlePeerReply(1100, nil, false, revisionAt(16), 0)
+	assert.Zero(t, r.ListedThrough())
+	r.HandleListedThrough(revision, revisionAt(20))
+	assert.Zero(t, r.ListedThrough(), "of a reply that was not applied")
+}
+
 // Guards against replies that are ignored until the store has caught up, because it was restored to before
 // the last page of a listing and does not state it.
 func TestRevisionBeforeLastPageShowsRestore(t *testing.T) {
--- a/core/mirror/reader.go
+++ b/core/mirror/reader.go
@@ -326,6 +326,23 @@
 	return !revision.Before(r.mirror.Revision()) && revision.Before(r.listedThrough)
 }
 
+// ListedThrough returns the revision of the last page of the listing in the mirror, if the mirror is
+// still before it, or zero. It goes with the changes for a peer.
+func (r *Reader) ListedThrough() Revision {
+	if !r.mirror.Revision().Before(r.listedThrough) {
+		return Revision{}
+	}
+	return r.listedThrough
+}
+
+// HandleListedThrough handles ListedThrough of a peer in a reply with a revision, after the
+// changes in the reply have been applied.
+func (r *Reader) HandleListedThrough(revision, through Revision) {
+	if revision == r.mirror.Revision() && r.listedThrough.Before(through) {
+		r.listedThrough = through
+	}
+}
+
 // resetListing ends the listing in progress. Later pages of it are ignored.
 func (r *Reader) resetListing() {
 	r.listingNumber++
--- a/entry/gateway/mirror_peer.go
+++ b/entry/gateway/mirror_peer.go
@@ -131,6 +131,14 @@
 	Settled bool `cbor:"7,keyasint,omitempty"`
 	// Era is that of Revision and of the items.
 	Era wireEra `cbor:"8,keyasint,omitzero"`
+	// Through is a later revision that the changes may already be from; see
+	// mirror.Reader.ListedThrough.
+	Through uint64 `cbor:"9,keyasint,omitempty"`
+}
+
+// through returns the revision of Through, which is in the same era.
+func (r mirrorReply) through() mirror.Revision {
+	return mirror.NewRevision(r.Era.era(), r.Through)
 }
 
 // revision returns the revision of the mirror, zero if there is none.
--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -322,6 +322,7 @@
 	mirrored := s.mirror.Revision()
 	changes := s.reader.HandleFollowReply(now, call.Peer(), reply.items(), reply.Complete, reply.revision(),
 		mirror.AgeAtArrival(clock.Millis(reply.AgeMs), now-began, call.Wait()))
+	s.reader.HandleListedThrough(reply.revision(), reply.through())
 	s.recordReply(call.Kind().String(), call.Peer(), mirrored, reply.revision(), changes)
 	s.handleProof(sentAt, reply)
 	s.logChanges(call.Kind().String(), call.Peer(), now-began, age, changes)
@@ -554,6 +555,7 @@
 	mirrored := s.mirror.Revision()
 	peerAge := mirror.AgeAtArrival(clock.Millis(reply.AgeMs), now-began, 0)
 	changes := s.reader.HandlePeerReply(now, reply.items(), reply.Complete, reply.revision(), peerAge)
+	s.reader.HandleListedThrough(reply.revision(), reply.through())
 	s.recordReply("peer", peer, mirrored, reply.revision(), changes)
 	s.handleProof(sentAt, reply)
 	s.logChanges("peer", peer, now-began, age, changes)
@@ -625,6 +627,7 @@
 	reply = mirrorReply{
 		Complete: complete, Revision: revision.Number(), Era: newWireEra(revision.Era()), AgeMs: float64(s.reader.Age(s.now())),
 		Observations: encodeObservations(s.observationsFor(request.Sender)), Settled: s.reader.Settled(s.now()),
+		Through: s.reader.ListedThrough().Number(),
 	}
 	for _, item := range items {
 		reply.Items = append(reply.Items, wireItem{
--- a/entry/gateway/mirror_syncer_test.go
+++ b/entry/gateway/mirror_syncer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -141,6 +142,22 @@
 	assert.EqualValues(t, 1, calls["watch.outdated"])
 }
 
+// Guards against a replica that has left and is used again, because a daemon has read the mirror
+// of a peer that lists the store in pages, and doesn't know which revisions these are from.
+func TestPeerStatesLastPageOfListing(t *testing.T) {
+	peer, s := newTestGateway(t), newTestGateway(t).mirrorSyncer
+	reader := peer.mirrorSyncer.reader
+	items := []mirror.Item{mirror.NewItem("servers/a", nil, revisionAt(3)), mirror.NewItem("servers/c", nil, revisionAt(15))}
+	for i, revision := range []uint64{10, 15} {
+		reader.HandlePage(reader.Begin(reader.Next(s.now()), s.now(), 0), s.now(), items[i:i+1], revisionAt(revision), i == 0)
+	}
+	server := httptest.NewServer(peer.peerHandler())
+	defer server.Close()
+	s.requestFromPeer(t.Context(), server.Listener.Addr().String(), startPeerRound(t, s))
+	assert.Equal(t, revisionAt(10), s.mirror.Revision())
+	assert.Equal(t, revisionAt(15), s.reader.ListedThrough())
+}
+
 // Guards against a panic on malformed crash records of a peer.
 func TestMalformedCrashRecordsAreIgnored(t *testing.T) {
 	g := newTestGateway(t)
