mirror: known state outlives the second of two older copies

Callers: when the store is restored twice within a short time, an older configuration takes effect, and a replica that has left is used again.

Cause: a listed item counts as new if its revision is above that of the mirror before the restore. After the first restore that is a low one of the copy, while what is in effect is from before it. An item of the second copy that lies between the two was taken for new.

Evidence: TestKnownStateOutlivesSecondCopy fails without the change (both items take effect at once). Found by reading; the property tests don't compare what is in effect with what was in force.

--- a/core/mirror/restore.go
+++ b/core/mirror/restore.go
@@ -66,6 +66,10 @@
 // earlier era. As operators and replicas write them again, the known state of a key stays in
 // effect for a time if the listed one may be older.
 func (m *Mirror) restore(now clock.Millis, items []Item, revision Revision) []Item {
+	if now > m.restoredAt+maxCopyAge {
+		m.highest = 0
+	}
+	m.highest = max(m.highest, m.revision.number)
 	previous := m.revision
 	m.revision, m.compactedRevision, m.restoredAt = revision, revision, now
 	m.tombstones = m.tombstones[:0]
@@ -80,7 +84,7 @@
 			known, ok = NewRemoval(item.key, previous), true
 		}
 		if ok {
-			if period := m.retention(known, item, previous); period > 0 {
+			if period := m.retention(known, item); period > 0 {
 				m.postpone(deferredChange{change: item, until: now + period})
 				continue
 			}
@@ -96,7 +100,7 @@
 				continue
 			}
 			m.postpone(deferredChange{
-				change: removal, until: now + m.retention(known, removal, previous), lapsed: m.kind(key) == Ephemeral,
+				change: removal, until: now + m.retention(known, removal), lapsed: m.kind(key) == Ephemeral,
 			})
 		}
 	}
@@ -104,9 +108,8 @@
 }
 
 // retention returns for how long the known state of a key outlives the listed one after a
-// restore. A removal stands for a missing key. Previous is the revision of the mirror before
-// the restore.
-func (m *Mirror) retention(known, listed Item, previous Revision) clock.Millis {
+// restore. A removal stands for a missing key.
+func (m *Mirror) retention(known, listed Item) clock.Millis {
 	switch {
 	case m.kind(known.key) == Conditional:
 		return 0
@@ -114,8 +117,8 @@
 		return lapseGracePeriod
 	case listed.removed:
 		return rewritePeriod
-	case listed.revision.number > previous.number:
-		// It was written after what the mirror knows, in either era.
+	case listed.revision.number > m.highest:
+		// It was written after what the mirror knows, in whichever era.
 		return 0
 	case known.removed && m.kind(known.key) == Restriction:
 		return 0
--- a/core/mirror/restore_test.go
+++ b/core/mirror/restore_test.go
@@ -275,6 +275,20 @@
 	assert.Equal(t, []string{"-e1"}, changedKeys(r.mirror.Expire(11_200+lapseGracePeriod)))
 }
 
+// Guards against a configuration that goes back because the store is restored twice, and the second
+// copy is older than the state in force but newer than the first copy.
+func TestKnownStateOutlivesSecondCopy(t *testing.T) {
+	r := newRestoredReader(valued("config", "third", inEra(1, 90)), valued("e1", "ready", inEra(1, 60)))
+	r.HandleEvents(r.Begin(r.Next(1200), 1200, 1200), 1200, []Item{NewRemoval("e1", inEra(1, 101))}, inEra(1, 101))
+	restoreAt(t, r, 10_000, 55, valued("config", "first", inEra(2, 40)))
+	r.HandleEvents(r.Begin(r.Next(11_200), 11_200, 11_200), 11_200, nil, inEra(3, 71))
+	call := r.Begin(r.Next(11_200), 11_200, 11_200)
+	copied := []Item{valued("config", "second", inEra(3, 65)), valued("e1", "ready", inEra(3, 60))}
+	assert.Empty(t, r.HandlePage(call, 11_200, copied, inEra(3, 71), false))
+	assert.Empty(t, r.mirror.Expire(11_200+rewritePeriod-1))
+	assert.Equal(t, []string{"config", "e1"}, changedKeys(r.mirror.Expire(11_200+rewritePeriod)))
+}
+
 // Guards against a data centre that comes back into service, or a replica that has left and is
 // used again, because the store is listed once more while operators write again what it lost.
 func TestRetentionOutlivesNextListing(t *testing.T) {
