--- a/core/release/restore_test.go
+++ b/core/release/restore_test.go
@@ -1,6 +1,7 @@
 package release
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
@@ -517,3 +518,48 @@
 	_, err := DecodeReport(EncodeReport(Report{Target: "v2", Final: Running}))
 	assert.ErrorIs(t, err, ErrMalformed)
 }
+
+// Guards against a wrong or missing end of a release while the store is restored again and again
+// from copies of random age, also from before the order, and against a final state that changes.
+func TestReleaseSurvivesRandomRestores(t *testing.T) {
+	const duration, faultsEnd = 30 * clock.Second, 40 * clock.Second
+	type snapshot struct {
+		status Status
+		order  *Order
+	}
+	for seed := range uint64(24) {
+		s := newFleetSim(t, seed, 8)
+		want := Completed
+		if seed%2 == 1 {
+			s.failing, want = func() float64 { return 0.5 }, RolledBack
+		}
+		copies := []snapshot{{}}
+		s.setOrder(&Order{Target: "v2", Duration: duration, Revision: revisionAt(5)})
+		ordered, reorderedAt := s.now, clock.Millis(0)
+		for s.now < ordered+faultsEnd+15*clock.Second {
+			s.run(500*clock.Millisecond, nil)
+			switch {
+			case s.retained == nil:
+				copies = append(copies, snapshot{s.status, s.order})
+			case s.now >= reorderedAt:
+				order := *s.retained
+				order.Revision = s.nextRevision()
+				s.retained, s.order = nil, &order
+			}
+			if s.retained == nil && s.now < ordered+faultsEnd && s.random.Float64() < 0.06 {
+				restored := copies[max(0, len(copies)-1-s.random.IntN(24))]
+				s.restore(restored.status, restored.order)
+				reorderedAt = s.now + clock.Millis(s.random.Float64())*5*clock.Second
+			}
+			for _, d := range s.daemons {
+				assert.False(t, d.Status().State.Terminal() && d.Status().State != want, "seed %d", seed)
+			}
+		}
+		assert.Equal(t, want, s.status.State, "seed %d", seed)
+		assert.Zero(t, s.oldAtCompletion, "seed %d", seed)
+		assert.LessOrEqual(t, s.calls, 12, "seed %d", seed)
+		require.Contains(t, s.history, want, "seed %d", seed)
+		first := slices.Index(s.history, want)
+		assert.NotContains(t, s.history[first:], Running, "seed %d", seed)
+	}
+}
