rollout: the reply to a write that the platform has lost since changes nothing

What callers would see: the platform accepts a change, is restored to an older copy before the reply arrives, and accepts another change of the same revision from a daemon that knew nothing of the first. The writer gets the second change from its peers and then the reply. It reported the first change as accepted, although it isn't in force, or, with the larger digest, put it into force in place of the second one everywhere: a change accepted after the return was gone.

Cause: the reply to a write was taken for the newest state of the key. Without a restore that holds, as any newer document lists the change among its ancestors; with one, the document in force may be a sibling.

Change: if neither of the two documents follows the other, the written one isn't applied and the outcome is "unknown". Should the platform hold it after all, the watchers find it there.

Evidence: both cases of TestLateReplyToLostWriteChangesNothing failed before (outcome "accepted"; the lost change in force) and pass now, with the tests of core/rollout, core/fleet and core/matrix.

--- a/core/rollout/action.go
+++ b/core/rollout/action.go
@@ -39,7 +39,8 @@
 	// Conflict means that the expected revision is not the one in force. The action
 	// carries the document in force; the proposal has no effect.
 	Conflict
-	// Unknown means that a write was sent but its result was not known in time. The
+	// Unknown means that a write was sent but its result was not known in time, or that
+	// the platform accepted it and was restored from a backup at about the same time. The
 	// change may still come into force; the document in force then includes its id.
 	Unknown
 	// Unavailable means that the platform did not answer before a write was sent.
--- a/core/rollout/document.go
+++ b/core/rollout/document.go
@@ -95,6 +95,12 @@
 	return d.changeID == changeID || slices.Contains(d.ancestors, changeID)
 }
 
+// follows reports whether the document was made from other, directly or through the changes
+// that it lists.
+func (d Document) follows(other Document) bool {
+	return other.revision == 0 || d.IncludesChange(other.changeID)
+}
+
 // Digest returns a hash of all fields of the document, or zero for no document.
 func (d Document) Digest() uint64 {
 	if d.revision == 0 {
--- a/core/rollout/propose.go
+++ b/core/rollout/propose.go
@@ -94,6 +94,11 @@
 		r.recordProposalFailure(now)
 		return actions
 	case Written:
+		if !p.written.follows(r.current) && !r.current.IncludesChange(p.changeID) {
+			// Both documents were accepted, so the platform was restored in between. The
+			// reply may be older than the restore, and the platform has lost the write.
+			return r.finishProposal(Unknown, actions)
+		}
 		actions = append(actions, r.applyIfNewer(now, p.written, "", "accepted by the platform")...)
 		return r.finishProposal(Applied, actions)
 	case Value, WriteConflict:
--- /dev/null
+++ b/core/rollout/restore_test.go
@@ -0,0 +1,56 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// siblings returns two documents that follow base and have the same revision, the one with
+// the smaller digest first.
+func siblings(base Document) (lower, higher Document) {
+	lower = base.successor("lower", []byte("lower"))
+	for n := 0; ; n++ {
+		higher = base.successor(fmt.Sprintf("higher-%d", n), []byte("higher"))
+		if higher.Digest() > lower.Digest() {
+			return lower, higher
+		}
+	}
+}
+
+// proposeWrite proposes a change of r and returns the write that follows the answer to
+// the read of the key.
+func proposeWrite(t *testing.T, r *Rollout, changeID string, body []byte, token uint64) Action {
+	t.Helper()
+	actions := r.Propose(0, NewProposal(r.Current().Revision(), changeID, body))
+	require.Equal(t, []ActionKind{Read}, actionKinds(actions))
+	actions = r.HandlePlatformEvent(0, NewEvent(Value, actions[0].CallID(), token, r.Current()))
+	require.Equal(t, []ActionKind{CompareAndSwap}, actionKinds(actions))
+	return actions[0]
+}
+
+// Guards against the reply to a write that the platform has lost since: it must neither
+// replace the change accepted after the return nor be reported as applied.
+func TestLateReplyToLostWriteChangesNothing(t *testing.T) {
+	base := NewDocument(1, "base", nil)
+	lower, higher := siblings(base)
+	for name, c := range map[string]struct{ lost, accepted Document }{
+		"lost change has the smaller digest": {lower, higher},
+		"lost change has the larger digest":  {higher, lower},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRollout("a:1")
+			r.applyIfNewer(0, base, "", "test")
+			write := proposeWrite(t, r, c.lost.ChangeID(), c.lost.Body(), 5)
+			require.Equal(t, c.lost, write.Document())
+			r.applyIfNewer(10, c.accepted, "", "from a peer")
+
+			actions := r.HandlePlatformEvent(20, NewEvent(Written, write.CallID(), 6, Document{}))
+			assert.Equal(t, c.accepted, r.Current())
+			require.Equal(t, []ActionKind{ReportOutcome}, actionKinds(actions))
+			assert.Equal(t, Unknown, actions[0].Outcome())
+		})
+	}
+}
