rollout: a late reply from before a restore replaces no change accepted after it

What callers would see: a watch or read of the platform returns late, or after the process was paused, with a document that the platform has lost in a restore. In the meantime another change was accepted after the return and came into force. If the lost document had the higher revision, or the same with the larger digest, it replaced that change on every daemon and at the platform, and could end a proposal as "accepted".

Cause: a document from the platform was applied by its revision alone, whenever its call began. Revisions are given out again after a restore.

Change: a newer document that doesn't follow the one in force is applied only from a call that began with the present document in force; otherwise the answer counts as failed and the key is read again. A lost document that follows the one in force is applied as before, and written back.

TestNewerDocumentReplacesOlder answered a call that had never been made, which now counts as given up. It answers the watcher's read instead; the cases and what they require are the same.

Evidence: TestLateReplyDoesNotReplaceLaterChange (both cases) and TestProposalIgnoresLateReply failed before: the lost document was in force. They pass now, with the tests of core/rollout, core/fleet and core/matrix.

--- a/core/rollout/platform.go
+++ b/core/rollout/platform.go
@@ -43,7 +43,7 @@
 	tokenKnown     bool // token is current as of the last answer
 	token          uint64
 	tokenVersion   fleet.SettingsVersion // of the document that the key held at the token
-	writeVersion   fleet.SettingsVersion // of the document in the pending CompareAndSwap
+	callVersion    fleet.SettingsVersion // of the document in force when the pending call began
 	needsWriteBack bool                  // the key holds an older document than the one in force
 	failures       int                   // consecutive failed calls
 	nextCallAt     clock.Millis
@@ -87,7 +87,6 @@
 	case w.needsWriteBack && w.tokenKnown:
 		action = Action{kind: CompareAndSwap, token: w.token, document: r.current}
 		timeout = CallTimeout + lostEventGrace
-		w.writeVersion = r.settingsVersion
 	case !w.tokenKnown, isNewer(r.settingsVersion, w.tokenVersion):
 		// A newer document has come from a peer. If the platform was restored to the one
 		// at the token in the meantime, a watch would not return before its end.
@@ -96,6 +95,7 @@
 	}
 	action.callID = r.nextCallID()
 	w.callID, w.pendingCall, w.deadline = action.callID, action.kind, now+timeout
+	w.callVersion = r.settingsVersion
 	return append(actions, action)
 }
 
@@ -104,7 +104,11 @@
 func (r *Rollout) HandlePlatformEvent(now clock.Millis, e Event) []Action {
 	var actions []Action
 	if e.kind == Value || e.kind == WriteConflict {
-		actions = r.applyIfNewer(now, e.document, "", "found at the platform")
+		if r.mayPrecedeRestore(e) {
+			e.kind = Failed // the key is read again
+		} else {
+			actions = r.applyIfNewer(now, e.document, "", "found at the platform")
+		}
 	}
 	if p := r.proposal; p != nil && e.callID == p.callID && p.pendingCall != 0 {
 		return r.handleProposalEvent(now, e, actions)
@@ -117,6 +121,24 @@
 	return r.handleWatcherEvent(now, e, actions)
 }
 
+// mayPrecedeRestore reports whether an answer may be older than the document in force
+// although its document is the newer one. If that doesn't follow the one in force, the
+// platform was restored between the two, and only a call that began with the present
+// document in force shows which of them the platform has kept.
+func (r *Rollout) mayPrecedeRestore(e Event) bool {
+	if !isNewer(e.document.SettingsVersion(), r.settingsVersion) || e.document.follows(r.current) {
+		return false
+	}
+	switch p, w := r.proposal, &r.watcher; {
+	case p != nil && e.callID == p.callID && p.pendingCall != 0:
+		return p.callVersion != r.settingsVersion
+	case e.callID == w.callID && w.pendingCall != 0:
+		return w.callVersion != r.settingsVersion
+	default:
+		return true // the call was given up
+	}
+}
+
 func (r *Rollout) handleWatcherEvent(now clock.Millis, e Event, actions []Action) []Action {
 	w := &r.watcher
 	if e.kind == Failed {
@@ -132,7 +154,7 @@
 		w.tokenKnown = !wasWatch
 	case Written:
 		w.token, w.tokenKnown, w.needsWriteBack = e.token, true, false
-		w.tokenVersion = w.writeVersion
+		w.tokenVersion = w.callVersion
 		r.recordEvent(now, "wrote the newer document back to the platform")
 	case Value, WriteConflict:
 		w.token, w.tokenKnown = e.token, true
--- a/core/rollout/propose.go
+++ b/core/rollout/propose.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/fleet"
 )
 
 // proposalTimeout is the time after which a proposal without a result ends as
@@ -13,7 +14,8 @@
 	Proposal
 	written      Document // sent to the platform; the zero Document before the first write
 	callID       uint64
-	pendingCall  ActionKind // Read or CompareAndSwap; zero if none is pending
+	pendingCall  ActionKind            // Read or CompareAndSwap; zero if none is pending
+	callVersion  fleet.SettingsVersion // of the document in force when the pending call began
 	callDeadline clock.Millis
 	expiresAt    clock.Millis
 	nextCallAt   clock.Millis
@@ -73,6 +75,7 @@
 		p.tokenFresh = false
 	}
 	p.callID, p.pendingCall, p.callDeadline = action.callID, action.kind, now+CallTimeout+lostEventGrace
+	p.callVersion = r.settingsVersion
 	return append(actions, action)
 }
 
--- a/core/rollout/restore_test.go
+++ b/core/rollout/restore_test.go
@@ -54,3 +54,54 @@
 		})
 	}
 }
+
+// Guards against the reply to a read or a watch from before a restore that replaces a change
+// which was accepted after it: only the platform's present state does.
+func TestLateReplyDoesNotReplaceLaterChange(t *testing.T) {
+	base := NewDocument(1, "base", nil)
+	accepted, sibling := siblings(base)
+	for name, lost := range map[string]Document{
+		"same revision, larger digest": sibling,
+		"higher revision":              sibling.successor("lost", nil),
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRollout("a:1")
+			r.SetMembers(0, nil)
+			r.applyIfNewer(0, base, "", "test")
+			read := r.Tick(0)[0]
+			require.Equal(t, Read, read.Kind())
+			r.HandlePlatformEvent(0, NewEvent(Value, read.CallID(), 5, base))
+			watch := r.Tick(0)[0]
+			require.Equal(t, Watch, watch.Kind())
+
+			r.applyIfNewer(10, accepted, "", "from a peer")
+			assert.Empty(t, r.HandlePlatformEvent(20, NewEvent(Value, watch.CallID(), 6, lost)))
+			assert.Equal(t, accepted, r.Current())
+			assert.Empty(t, r.HandlePlatformEvent(20, NewEvent(Value, 99, 6, lost)), "a call that was given up")
+			assert.Equal(t, accepted, r.Current())
+
+			actions := r.Tick(500)
+			require.Equal(t, []ActionKind{Read}, actionKinds(actions), "the key is read again")
+			r.HandlePlatformEvent(510, NewEvent(Value, actions[0].CallID(), 6, lost))
+			assert.Equal(t, lost, r.Current(), "the platform holds it")
+		})
+	}
+}
+
+// Guards against a proposal that ends by a reply from before a restore: a document that
+// replaces none in force must not decide its outcome.
+func TestProposalIgnoresLateReply(t *testing.T) {
+	base := NewDocument(1, "base", nil)
+	accepted, lost := siblings(base)
+	r := newRollout("a:1")
+	r.applyIfNewer(0, base, "", "test")
+	read := r.Propose(0, NewProposal(1, lost.ChangeID(), lost.Body()))[0]
+	r.applyIfNewer(10, accepted, "", "from a peer")
+	assert.Empty(t, r.HandlePlatformEvent(20, NewEvent(Value, read.CallID(), 6, lost)))
+	assert.Equal(t, accepted, r.Current())
+	actions := r.Tick(500)
+	require.Equal(t, []ActionKind{Read}, actionKinds(actions))
+	actions = r.HandlePlatformEvent(510, NewEvent(Value, actions[0].CallID(), 6, accepted))
+	require.Equal(t, []ActionKind{ReportOutcome}, actionKinds(actions))
+	assert.Equal(t, Conflict, actions[0].Outcome())
+}
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -64,8 +64,11 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			r := newRollout("a:1")
+			r.SetMembers(0, nil)
 			r.applyIfNewer(0, c.current, "", "test")
-			r.HandlePlatformEvent(0, NewEvent(Value, 99, 1, c.offered))
+			read := r.Tick(0)
+			require.Equal(t, []ActionKind{Read}, actionKinds(read))
+			r.HandlePlatformEvent(0, NewEvent(Value, read[0].CallID(), 1, c.offered))
 			assert.Equal(t, c.want, r.Current())
 		})
 	}
