rollout: a proposal reads the key before it writes

What callers would see: a daemon watches the settings over a connection that was cut silently. The platform comes back from an older copy and accepts changes until it gives out again the token after which that daemon watches. A change made at that daemon replaced these changes, with a lower revision than theirs, and was reported as accepted; the other daemons then wrote theirs back, so that it was lost.

Cause: a proposal wrote at once with the token of the pending watch. Tokens are given out again after a restore, so that a conditional write with an old one may meet a newer document.

Change: the key is read first, which shows the newer document, and the proposal ends as a conflict. This costs one read of the platform for each change of an operator. A write that is under way while the platform goes back and reaches the same token again can still meet another document; the token is all that the platform compares.

Evidence: TestProposalDoesNotUseWatchedTokenAfterRestore failed before: outcome "accepted", revision 6 at the platform in place of 7.

--- a/core/rollout/propose.go
+++ b/core/rollout/propose.go
@@ -42,10 +42,9 @@
 	if err := r.current.successor(p.changeID, p.body).validate(); err != nil {
 		return []Action{{kind: ReportOutcome, outcome: Invalid, changeID: p.changeID, document: r.current}}
 	}
+	// The key is read first. After a restore the platform may have given the token of a
+	// pending watch to another document.
 	r.proposal = &proposal{Proposal: p, expiresAt: now + proposalTimeout, nextCallAt: now}
-	if r.watcher.tokenKnown && r.watcher.pendingCall == Watch {
-		r.proposal.token, r.proposal.tokenFresh = r.watcher.token, true
-	}
 	return r.tickProposal(now, nil)
 }
 
--- a/core/rollout/restore_test.go
+++ b/core/rollout/restore_test.go
@@ -105,3 +105,63 @@
 	require.Equal(t, []ActionKind{ReportOutcome}, actionKinds(actions))
 	assert.Equal(t, Conflict, actions[0].Outcome())
 }
+
+// key is the platform's key, with the token that a document had when it was written.
+type key struct {
+	token    uint64
+	document Document
+}
+
+// call performs a read or a write and returns the answer.
+func (k *key) call(a Action) Event {
+	switch {
+	case a.Kind() == CompareAndSwap && a.Token() == k.token:
+		k.token++
+		k.document = a.Document()
+		return NewEvent(Written, a.CallID(), k.token, Document{})
+	case a.Kind() == CompareAndSwap:
+		return NewEvent(WriteConflict, a.CallID(), k.token, k.document)
+	default:
+		return NewEvent(Value, a.CallID(), k.token, k.document)
+	}
+}
+
+// settle performs the calls of a proposal until its outcome is reported.
+func settle(t *testing.T, r *Rollout, k *key, actions []Action) Outcome {
+	t.Helper()
+	for range 10 {
+		var call Action
+		for _, a := range actions {
+			switch a.Kind() {
+			case ReportOutcome:
+				return a.Outcome()
+			case Read, CompareAndSwap:
+				call = a
+			}
+		}
+		require.NotZero(t, call.CallID(), "the proposal makes no call")
+		actions = r.HandlePlatformEvent(0, k.call(call))
+	}
+	require.Fail(t, "the proposal has no outcome")
+	return 0
+}
+
+// Guards against a change that replaces newer ones: the platform has come back from an older
+// copy, and the token after which this daemon still watches was given out again.
+func TestProposalDoesNotUseWatchedTokenAfterRestore(t *testing.T) {
+	r := newRollout("a:1")
+	r.SetMembers(0, nil)
+	known := NewDocument(5, "known", nil)
+	read := r.Tick(0)[0]
+	r.HandlePlatformEvent(0, NewEvent(Value, read.CallID(), 9, known))
+	watch := r.Tick(0)[0]
+	require.Equal(t, Watch, watch.Kind())
+	require.Equal(t, uint64(9), watch.Token())
+
+	newer := known.successor("second", nil).successor("third", nil)
+	k := key{token: 9, document: newer}
+	outcome := settle(t, r, &k, r.Propose(0, NewProposal(5, "late", nil)))
+	assert.Equal(t, Conflict, outcome)
+	assert.Equal(t, key{token: 9, document: newer}, k)
+	assert.Equal(t, newer, r.Current())
+}
