rollout: a proposal replaces only the document that it was made from

What callers would see: an operator changes the settings while the platform has come back from an older copy and given out the revision that the change expects again, to a change of another operator. If that comes into force at the daemon before the write, or before it is repeated, the first change replaced it without a conflict: the second operator's change was accepted and then gone.

Cause: a proposal compared the revision in force with the expected one, and a write that was to be repeated compared nothing but the token. Revisions and tokens are given out again after a restore.

Change: a proposal keeps the version (revision and digest) of the document that it was made from. It writes only while that is in force, and ends as a conflict otherwise.

Not changed: operators name the expected document by its revision alone, so one that read it before the return and sends the change after another document of that revision is in force still replaces the latter.

Evidence: both cases of TestProposalKeepsDocumentOfReusedRevision failed before: the late change replaced the accepted one at the platform. They pass now, with the tests of core/rollout, core/fleet and core/matrix.

--- a/core/rollout/propose.go
+++ b/core/rollout/propose.go
@@ -12,7 +12,8 @@
 // proposal is the state of the Proposal in progress. It has at most one call pending.
 type proposal struct {
 	Proposal
-	written      Document // sent to the platform; the zero Document before the first write
+	base         fleet.SettingsVersion // of the document in force that the proposal replaces
+	written      Document              // sent to the platform; the zero Document before the first write
 	callID       uint64
 	pendingCall  ActionKind            // Read or CompareAndSwap; zero if none is pending
 	callVersion  fleet.SettingsVersion // of the document in force when the pending call began
@@ -44,7 +45,7 @@
 	}
 	// The key is read first. After a restore the platform may have given the token of a
 	// pending watch to another document.
-	r.proposal = &proposal{Proposal: p, expiresAt: now + proposalTimeout, nextCallAt: now}
+	r.proposal = &proposal{Proposal: p, base: r.settingsVersion, expiresAt: now + proposalTimeout, nextCallAt: now}
 	return r.tickProposal(now, nil)
 }
 
@@ -66,7 +67,7 @@
 		return actions
 	}
 	action := Action{kind: Read, callID: r.nextCallID()}
-	if p.tokenFresh {
+	if p.tokenFresh && r.settingsVersion == p.base {
 		if p.written.revision == 0 {
 			p.written = r.current.successor(p.changeID, p.body)
 		}
@@ -122,9 +123,7 @@
 		return r.finishProposal(Applied, actions)
 	case r.current.IncludesChange(p.changeID):
 		return r.finishProposal(Applied, actions)
-	case e.document.revision > p.expectedRevision:
-		return r.finishProposal(Conflict, actions)
-	case r.current.revision != p.expectedRevision:
+	case r.settingsVersion != p.base:
 		return r.finishProposal(Conflict, actions)
 	}
 	// The key holds the expected document, or an older one after the platform was
--- a/core/rollout/restore_test.go
+++ b/core/rollout/restore_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/lovagegap/lovagegap/core/clock"
 )
 
 // siblings returns two documents that follow base and have the same revision, the one with
@@ -165,3 +167,38 @@
 	assert.Equal(t, key{token: 9, document: newer}, k)
 	assert.Equal(t, newer, r.Current())
 }
+
+// Guards against a change that replaces another one with the revision that it expects: after
+// a restore the revision was given out again, and the other change came into force before
+// the write.
+func TestProposalKeepsDocumentOfReusedRevision(t *testing.T) {
+	base := NewDocument(1, "base", nil)
+	seen, accepted := siblings(base)
+	var r *Rollout
+	propose := func() Action {
+		r = newRollout("a:1")
+		r.applyIfNewer(0, seen, "", "test")
+		actions := r.Propose(0, NewProposal(2, "late", nil))
+		require.Equal(t, []ActionKind{Read}, actionKinds(actions))
+		return actions[0]
+	}
+	accept := func() key {
+		r.applyIfNewer(0, accepted, "", "from a peer")
+		return key{token: 6, document: accepted}
+	}
+	t.Run("before the read is answered", func(t *testing.T) {
+		read := propose()
+		k := accept()
+		actions := r.HandlePlatformEvent(0, NewEvent(Value, read.CallID(), 6, seen))
+		assert.Equal(t, Conflict, settle(t, r, &k, actions))
+		assert.Equal(t, key{token: 6, document: accepted}, k)
+	})
+	t.Run("before the write is repeated", func(t *testing.T) {
+		actions := r.HandlePlatformEvent(0, NewEvent(Value, propose().CallID(), 5, base))
+		require.Equal(t, []ActionKind{CompareAndSwap}, actionKinds(actions))
+		r.HandlePlatformEvent(0, NewEvent(WriteConflict, actions[0].CallID(), 6, seen))
+		k := accept()
+		assert.Equal(t, Conflict, settle(t, r, &k, r.Tick(clock.Second)))
+		assert.Equal(t, key{token: 6, document: accepted}, k)
+	})
+}
