rollout: only the document in force shows that a change is applied

What callers would see: the platform comes back with a document that lost against the one in force, for example because it was written by a daemon that was cut off during an earlier restore. An operator repeats the change of that document at a daemon that doesn't have it in force. It was reported as accepted, while the watchers replaced the platform's document by the one in force: the change was never in force there.

Cause: a proposal ended as accepted as soon as the document at the key listed the change, even if that is older than the document in force. Without a restore the former is never older.

Change: the document in force decides; a newer one at the key has come into force before. The repeated change is written on top of the document in force.

Evidence: TestChangeOfRestoredDocumentIsNotReportedAsApplied failed before: reported as accepted, the change not in force. It passes now, with the tests of core/rollout, core/fleet and core/matrix.

--- a/core/rollout/propose.go
+++ b/core/rollout/propose.go
@@ -119,8 +119,6 @@
 func (r *Rollout) resolveProposal(now clock.Millis, e Event, wasWrite bool, actions []Action) []Action {
 	p := r.proposal
 	switch {
-	case e.document.IncludesChange(p.changeID):
-		return r.finishProposal(Applied, actions)
 	case r.current.IncludesChange(p.changeID):
 		return r.finishProposal(Applied, actions)
 	case r.settingsVersion != p.base:
--- a/core/rollout/restore_test.go
+++ b/core/rollout/restore_test.go
@@ -202,3 +202,17 @@
 		assert.Equal(t, key{token: 6, document: accepted}, k)
 	})
 }
+
+// Guards against a repeated change that is reported as accepted although it isn't in force:
+// the restored platform holds an older document with it, which is about to be replaced.
+func TestChangeOfRestoredDocumentIsNotReportedAsApplied(t *testing.T) {
+	base := NewDocument(1, "base", nil)
+	lost, inForce := siblings(base)
+	r := newRollout("a:1")
+	r.applyIfNewer(0, inForce, "", "test")
+	k := key{token: 6, document: lost}
+	assert.Equal(t, Applied, settle(t, r, &k, r.Propose(0, NewProposal(2, lost.ChangeID(), lost.Body()))))
+	assert.True(t, r.Current().IncludesChange(lost.ChangeID()), "the change is in force")
+	assert.True(t, r.Current().IncludesChange(inForce.ChangeID()), "with the one that was in force before")
+	assert.Equal(t, r.Current(), k.document)
+}
