rollout: a proposal waits for the newer document that a peer has announced

What callers would see: a daemon that was cut off gets a change while the platform has just come back with the older document that this daemon still has. A peer has told it of the newer document, which is on its way. The platform accepted the change on top of the older document, the operator was told so, and the newer document then replaced it everywhere.

Cause: a proposal relied on the platform to refuse a write on top of an outdated document. A platform that went back to that document accepts it.

Change: while a newer document is pulled from a peer, a proposal makes no call, and reads the key again afterwards. Without a restore such a proposal ended as a conflict anyway.

Evidence: the case "peer sends it" of TestProposalWaitsForNewerDocumentOfPeer failed before: accepted, and not in force. Both cases pass now, with the tests of core/rollout, core/fleet and core/matrix.

--- a/core/rollout/propose.go
+++ b/core/rollout/propose.go
@@ -66,6 +66,11 @@
 	if p.pendingCall != 0 || now < p.nextCallAt {
 		return actions
 	}
+	if r.pull != nil {
+		// A peer has a newer document, which a restored platform may lack.
+		p.tokenFresh = false
+		return actions
+	}
 	action := Action{kind: Read, callID: r.nextCallID()}
 	if p.tokenFresh && r.settingsVersion == p.base {
 		if p.written.revision == 0 {
--- a/core/rollout/restore_test.go
+++ b/core/rollout/restore_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/fleet"
 )
 
 // siblings returns two documents that follow base and have the same revision, the one with
@@ -216,3 +217,56 @@
 	assert.True(t, r.Current().IncludesChange(inForce.ChangeID()), "with the one that was in force before")
 	assert.Equal(t, r.Current(), k.document)
 }
+
+// Guards against a change that is accepted on top of an older document that the platform was
+// restored to, and lost when the newer one arrives of which a peer has already told; and
+// against one that waits for the document of a peer that is lost.
+func TestProposalWaitsForNewerDocumentOfPeer(t *testing.T) {
+	old := NewDocument(3, "old", nil)
+	newer := old.successor("second", nil).successor("third", nil)
+	for name, c := range map[string]struct {
+		peer    func(r *Rollout) // what the peer does after 200 ms
+		outcome Outcome
+		key     key
+	}{
+		"peer sends it": {
+			func(r *Rollout) { r.Receive(200, "b:1", newChunk(newer, newer.Digest(), 0)) }, Conflict,
+			key{token: 5, document: old},
+		},
+		"peer is lost": {
+			func(r *Rollout) { r.LinkDown(200, "b:1") }, Applied,
+			key{token: 6, document: old.successor("late", nil)},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRollout("a:1")
+			r.applyIfNewer(0, old, "", "test")
+			r.LinkUp(0, "b:1")
+			r.Receive(0, "b:1", NewOffer(newer.SettingsVersion()))
+			k := key{token: 5, document: old}
+			var outcome Outcome
+			actions := r.Propose(0, NewProposal(3, "late", nil))
+			for now := clock.Millis(0); now < clock.Second; now += fleet.TickInterval {
+				for len(actions) > 0 {
+					a := actions[0]
+					actions = actions[1:]
+					switch a.Kind() {
+					case Read, CompareAndSwap:
+						actions = append(actions, r.HandlePlatformEvent(now, k.call(a))...)
+					case ReportOutcome:
+						outcome = a.Outcome()
+					}
+				}
+				if now == 200 {
+					c.peer(r)
+				}
+				actions = r.Tick(now)
+			}
+			assert.Equal(t, c.outcome, outcome)
+			assert.Equal(t, c.key, k)
+			if outcome == Applied {
+				assert.True(t, r.Current().IncludesChange("late"))
+			}
+		})
+	}
+}
