daemon: a daemon with another document of the same revision lags

What callers would see: after the platform came back from an older copy and gave a revision out again, the list behind `lovagegapctl rollout` showed no lag while daemons had two different documents of that revision in force, so that a change seemed to be in force on every daemon before it was, or just before it lost.

Cause: the versions of daemons were compared by their revisions alone.

Change: a daemon with the same revision and another digest lags, too.

--- a/entry/daemon/view.go
+++ b/entry/daemon/view.go
@@ -16,6 +16,7 @@
 // force, without the daemons that have left or are dead.
 func (v *operatorView) Rollout() operators.Rollout {
 	_, revision := v.daemon.control.CurrentSettings()
+	own, _ := v.daemon.control.SettingsVersion(fleet.ID(v.daemon.configuration.peerAddress))
 	reply := operators.Rollout{Revision: revision, Daemons: []operators.RolloutDaemon{}}
 	for _, m := range v.daemon.control.Members() {
 		if m.State() == fleet.Left || m.State() == fleet.Dead {
@@ -24,12 +25,19 @@
 		seen, known := v.daemon.control.SettingsVersion(m.ID())
 		reply.Daemons = append(reply.Daemons, operators.RolloutDaemon{
 			ID: string(m.ID()), DataCentre: m.DataCentre(), State: m.State().String(),
-			Revision: seen.Revision(), Lags: !known || seen.Revision() < revision,
+			Revision: seen.Revision(), Lags: !known || lags(seen, own, revision),
 		})
 	}
 	return reply
 }
 
+// lags reports whether a daemon with the version seen has neither the settings of this
+// daemon in force, at the given revision, nor newer ones. After a restore of the platform
+// two documents may have the same revision.
+func lags(seen, own fleet.SettingsVersion, revision uint64) bool {
+	return seen.Revision() < revision || seen.Revision() == own.Revision() && seen != own
+}
+
 // Fleet returns all members as this daemon sees them.
 func (v *operatorView) Fleet() operators.Fleet {
 	reply := operators.Fleet{Self: v.daemon.configuration.peerAddress, Members: []operators.Member{}}
--- a/entry/operators/wire.go
+++ b/entry/operators/wire.go
@@ -52,7 +52,7 @@
 }
 
 // RolloutDaemon is the settings revision of one daemon. Lags is set if the revision
-// is unknown or below that of the replying daemon.
+// is unknown or below that of the replying daemon, or the same with another document.
 type RolloutDaemon struct {
 	ID         string `json:"id"`
 	DataCentre string `json:"dataCentre"`
