fleet, inventory, platform test: the platform comes back from an older copy

The simulated platform of core/fleet can come back from a copy, so that tokens are given out again, cut the connections of watches silently, and delay requests and replies; it answers a pending watch only if the token has changed, as the stand-in does. The check that settings don't go back covers documents of the same revision, too. One page says how the settings follow a restored platform.

- TestListThatWentBackIsFollowed and a case of TestClientAndFakeMeetContract: a list of VMs that went back is followed at the next reading, by client, fake, reader and peers, without an old status.

--- a/core/fleet/network_test.go
+++ b/core/fleet/network_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/lovagegap/lovagegap/core/clock"
 	"github.com/lovagegap/lovagegap/core/fleet"
@@ -349,10 +350,13 @@
 	}
 }
 
-// apply puts a document in force and checks that the revision does not decrease.
+// apply puts a document in force and checks that the revision does not decrease, nor the
+// digest with the same revision.
 func (n *network) apply(d *daemon, document rollout.Document) {
-	if document.Revision() < d.applied.Revision() {
-		n.recordFailure("%s reverted from revision %d to %d", d.id, d.applied.Revision(), document.Revision())
+	if document.Revision() < d.applied.Revision() ||
+		document.Revision() == d.applied.Revision() && document.Digest() <= d.applied.Digest() {
+		n.recordFailure("%s reverted from revision %d, change %q, to %d, change %q", d.id,
+			d.applied.Revision(), d.applied.ChangeID(), document.Revision(), document.ChangeID())
 	}
 	d.applied = document
 	if _, seen := d.inForceAt[document.Revision()]; !seen {
@@ -413,16 +417,21 @@
 	document       rollout.Document
 	token          uint64
 	lastToken      uint64
-	watchers       []pendingWatch
+	watchers       []*pendingWatch
+	maxDelay       clock.Millis // of a request, and of a reply, on top of the one-way delay
 	calls          int
 	killWriter     bool // the writer dies before it learns that its write was accepted
 	acceptedAt     clock.Millis
+	writeCalls     []clock.Millis      // instants of the writes, whether they were accepted or not
 	unavailable    func(fleet.ID) bool // reports whether a daemon cannot reach the platform
 }
 
 type pendingWatch struct {
-	d    *daemon
-	call uint64
+	d       *daemon
+	call    uint64
+	token   uint64
+	cut     bool // the connection was cut silently: no change is reported
+	pending bool
 }
 
 func (p *platform) call(n *network, d *daemon, a rollout.Action) {
@@ -430,7 +439,7 @@
 		return
 	}
 	p.calls++
-	n.schedule(n.oneWayDelay, func() {
+	n.schedule(n.oneWayDelay+p.delay(n), func() {
 		if p.down || (p.unavailable != nil && p.unavailable(d.id)) {
 			p.answer(n, d, rollout.NewEvent(rollout.Failed, a.CallID(), 0, rollout.Document{}))
 			return
@@ -446,25 +455,61 @@
 	})
 }
 
+// delay returns a random delay of at most maxDelay.
+func (p *platform) delay(n *network) clock.Millis {
+	if p.maxDelay == 0 {
+		return 0
+	}
+	return p.maxDelay * clock.Millis(n.rng.Float64())
+}
+
 func (p *platform) watch(n *network, d *daemon, a rollout.Action) {
 	if a.Token() != p.token {
 		p.answer(n, d, rollout.NewEvent(rollout.Value, a.CallID(), p.token, p.document))
 		return
 	}
-	w := pendingWatch{d: d, call: a.CallID()}
+	w := &pendingWatch{d: d, call: a.CallID(), token: a.Token(), pending: true}
 	p.watchers = append(p.watchers, w)
 	n.schedule(rollout.WatchTimeout, func() {
-		for i, other := range p.watchers {
-			if other == w {
-				p.watchers = append(p.watchers[:i:i], p.watchers[i+1:]...)
-				p.answer(n, d, rollout.NewEvent(rollout.Unchanged, a.CallID(), p.token, rollout.Document{}))
-				return
-			}
+		if w.pending {
+			p.endWatch(n, w, rollout.NewEvent(rollout.Unchanged, a.CallID(), p.token, rollout.Document{}))
 		}
 	})
 }
 
+// endWatch answers a pending watch.
+func (p *platform) endWatch(n *network, w *pendingWatch, e rollout.Event) {
+	w.pending = false
+	p.watchers = slices.DeleteFunc(p.watchers, func(other *pendingWatch) bool { return other == w })
+	p.answer(n, w.d, e)
+}
+
+// cutWatches cuts the connections of the pending watches without an answer.
+func (p *platform) cutWatches() {
+	for _, w := range p.watchers {
+		w.cut = true
+	}
+}
+
+// restore brings the platform back with an older document and its token. Later tokens are
+// given out again.
+func (p *platform) restore(n *network, document rollout.Document, token uint64) {
+	p.down = false
+	p.document, p.token, p.lastToken = document, token, token
+	p.answerWatches(n)
+}
+
+// answerWatches answers the pending watches for which the token has changed.
+func (p *platform) answerWatches(n *network) {
+	for _, w := range slices.Clone(p.watchers) {
+		if !w.cut && w.token != p.token {
+			p.endWatch(n, w, rollout.NewEvent(rollout.Value, w.call, p.token, p.document))
+		}
+	}
+}
+
 func (p *platform) write(n *network, d *daemon, a rollout.Action) {
+	p.writeCalls = append(p.writeCalls, n.now)
 	if a.Token() != p.token {
 		p.answer(n, d, rollout.NewEvent(rollout.WriteConflict, a.CallID(), p.token, p.document))
 		return
@@ -492,21 +537,21 @@
 	if p.downAfterWrite {
 		return
 	}
-	for _, w := range p.watchers {
-		p.answer(n, w.d, rollout.NewEvent(rollout.Value, w.call, p.token, document))
-	}
-	p.watchers = nil
+	p.answerWatches(n)
 }
 
 // goDown makes the platform unavailable and ends the pending watches with an error.
 func (p *platform) goDown(n *network) {
 	p.down, p.downAfterWrite = true, false
-	for _, w := range p.watchers {
-		p.answer(n, w.d, rollout.NewEvent(rollout.Failed, w.call, 0, rollout.Document{}))
+	for _, w := range slices.Clone(p.watchers) {
+		if !w.cut {
+			p.endWatch(n, w, rollout.NewEvent(rollout.Failed, w.call, 0, rollout.Document{}))
+		}
 	}
-	p.watchers = nil
 }
 
 func (p *platform) answer(n *network, d *daemon, e rollout.Event) {
-	n.deliver(d, func() { n.performRollout(d, d.rollout.HandlePlatformEvent(n.now, e)) })
+	n.schedule(p.delay(n), func() {
+		n.deliver(d, func() { n.performRollout(d, d.rollout.HandlePlatformEvent(n.now, e)) })
+	})
 }
--- a/core/fleet/settings_test.go
+++ b/core/fleet/settings_test.go
@@ -98,12 +98,11 @@
 		}, rollout.Applied},
 		{"platform restored to the first document", nil, func(n *network) {
 			n.advance(1000)
-			n.restoreFirstDocument()
+			n.platform.restore(n, rollout.NewDocument(1, "first", []byte("{}")), 1)
 		}, rollout.Applied},
 		{"platform restored without any document", nil, func(n *network) {
 			n.advance(1000)
-			n.platform.set(n, rollout.Document{})
-			n.platform.token = 0
+			n.platform.restore(n, rollout.Document{}, 0)
 		}, rollout.Applied},
 		{"messages lost", func(n *network) { n.lossProbability = 0.05 }, nil, rollout.Applied},
 	}
@@ -142,13 +141,6 @@
 	}
 }
 
-// restoreFirstDocument restores the platform to the first document and its token, as
-// from a backup.
-func (n *network) restoreFirstDocument() {
-	n.platform.set(n, rollout.NewDocument(1, "first", []byte("{}")))
-	n.platform.token, n.platform.lastToken = 1, 1
-}
-
 // Guards against a lost change when two operators change the same revision: exactly
 // one change is applied, and the other operator learns of the conflict.
 func TestConcurrentProposalsConflict(t *testing.T) {
--- a/core/inventory/inventory_test.go
+++ b/core/inventory/inventory_test.go
@@ -94,6 +94,28 @@
 	require.Len(t, i.VMs(), 1)
 }
 
+// Guards against an upstream that is used by its old status when the list goes back to a
+// state from before its removal, and against daemons that keep the older list.
+func TestListThatWentBackIsFollowed(t *testing.T) {
+	var reader, other inventory.Inventory
+	older := []inventory.VM{upstreamVM("removed"), upstreamVM("stays")}
+	newer := []inventory.VM{upstreamVM("added"), upstreamVM("stays")}
+	status := inventory.NewStatus("removed", "boot-1", false, false, nil)
+	receiveRecords(t, &other, reader.ObserveStatus(0, status)...)
+	for second, list := range [][]inventory.VM{older, newer, older, newer} {
+		for _, record := range reader.ObserveVMList(clock.Millis(second)*clock.Second, list) {
+			_, err := other.ReceiveRecord(clock.Millis(second)*clock.Second, record)
+			require.NoError(t, err)
+		}
+		require.Equal(t, list, reader.VMs())
+		require.Equal(t, list, other.VMs())
+		for _, i := range []*inventory.Inventory{&reader, &other} {
+			_, known := i.Status("removed")
+			require.Equal(t, second == 0, known, "the status is known again only from a new poll")
+		}
+	}
+}
+
 // Guards against calls to the platform that grow with the fleet, and against
 // upstreams that no daemon polls.
 func TestTwoReadersPerResource(t *testing.T) {
--- a/core/rollout/document.go
+++ b/core/rollout/document.go
@@ -30,6 +30,12 @@
 // because it was restored from a backup, and a daemon that knew none of them
 // wrote a new document. The document with the larger digest then counts as the
 // newer one, so that every daemon decides alike without communication.
+//
+// Such a document does not list the change of the other among its ancestors. An
+// answer of the platform that carries one may be older than the restore, so it
+// counts only if its call began with the present document in force. A proposal
+// replaces only the document that it was made from, at a token that was read
+// for it.
 package rollout
 
 import (
--- a/entry/platform/platform_test.go
+++ b/entry/platform/platform_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -35,6 +36,7 @@
 	loseReplies func(int)
 	restore     func(key string, value platform.Value)
 	watchCount  func() int
+	setExtraVM  func(listed bool) // adds a VM to the list or takes it out again
 }
 
 func newClientSetup(t *testing.T) contractSetup {
@@ -59,16 +61,35 @@
 			require.NoError(t, server.Restore(key, value.Revision()))
 		},
 		watchCount: func() int { return server.Calls().Total["watch"] },
+		setExtraVM: func(listed bool) {
+			if !listed {
+				require.True(t, server.RemoveVM("10.0.0.3:80"))
+				return
+			}
+			server.SetVM(standin.VM{
+				Address: "10.0.0.3:80", DataCentre: "lekki", Region: "west", Role: "upstream", User: "u", Service: "s",
+				State: standin.Live,
+			})
+		},
 	}
 }
 
 func newFakeSetup(*testing.T) contractSetup {
 	f := &platformtest.Fake{}
-	f.SetVMs(platform.NewEntryVM("10.0.0.1:80", "10.0.0.1:81", "ikeja", "west"),
-		platform.NewUpstreamVM("10.0.0.2:80", "lekki", "west", "u", "s").AsLeaving())
+	vms := []platform.VM{
+		platform.NewEntryVM("10.0.0.1:80", "10.0.0.1:81", "ikeja", "west"),
+		platform.NewUpstreamVM("10.0.0.2:80", "lekki", "west", "u", "s").AsLeaving(),
+	}
+	f.SetVMs(vms...)
 	return contractSetup{
 		platformAPI: f, setDown: f.SetDown, loseReplies: f.LoseReplies, restore: f.Restore,
 		watchCount: func() int { return f.Calls("watch") },
+		setExtraVM: func(listed bool) {
+			f.SetVMs(vms...)
+			if listed {
+				f.SetVMs(append(slices.Clone(vms), platform.NewUpstreamVM("10.0.0.3:80", "lekki", "west", "u", "s"))...)
+			}
+		},
 	}
 }
 
@@ -90,6 +111,7 @@
 		{"a watch ends with its context", testWatchContext},
 		{"a pending watch fails when the platform goes down", testWatchDown},
 		{"the list of VMs has all fields", testVMs},
+		{"a list of VMs that went back is the present one", testVMsRestore},
 	}
 	for name, open := range map[string]func(*testing.T) contractSetup{"client": newClientSetup, "fake": newFakeSetup} {
 		for _, c := range cases {
@@ -228,6 +250,16 @@
 	}, list)
 }
 
+// testVMsRestore checks the list after a restore to one that the client has read before.
+func testVMsRestore(t *testing.T, b contractSetup) {
+	for _, extra := range []bool{true, false, true, false} {
+		b.setExtraVM(extra)
+		list, err := b.VMs(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, extra, slices.Contains(list, platform.NewUpstreamVM("10.0.0.3:80", "lekki", "west", "u", "s")))
+	}
+}
+
 // Guards against a list of VMs that is sent in full for each call: with 100 VMs
 // it would use up the control traffic allowed to a daemon.
 func TestUnchangedListIsNotSentAgain(t *testing.T) {
