mirror: an entry that the mirror lacked before a restore is that of a replica that has left

Callers: requests that reach a replica which has left, from a daemon that started shortly before the store was restored from a copy which has the replica's entry.

Cause: after a restore the mirror recognises keys that were removed within the last minute. A daemon that got its first copy from a peer after the removal has not seen it.

Change: an entry of a replica with a revision that the mirror had passed, but which the mirror lacked, counts as removed, too, until it is written again.

Evidence: TestEntryThatMirrorLackedStaysUnused fails without the change.

--- a/core/mirror/restore.go
+++ b/core/mirror/restore.go
@@ -80,7 +80,9 @@
 	for _, item := range items {
 		listed[item.key] = true
 		known, ok := m.items[item.key]
-		if !ok && removed[item.key] {
+		// The mirror had all keys, so that an entry of that time has been removed.
+		outdated := m.kind(item.key) == Ephemeral && item.revision.number <= m.highest
+		if !ok && (removed[item.key] || outdated) {
 			known, ok = NewRemoval(item.key, previous), true
 		}
 		if ok {
--- a/core/mirror/restore_test.go
+++ b/core/mirror/restore_test.go
@@ -380,3 +380,15 @@
 	r.ObserveEra(700, NewEra(0, 1))
 	assert.Equal(t, Watch, r.Next(700).Kind())
 }
+
+// Guards against a replica that has left and is used again: the daemon has started after it left, so
+// that it knows no removal, and then the store is restored from an older copy.
+func TestEntryThatMirrorLackedStaysUnused(t *testing.T) {
+	r := newRestoredReader(valued("e1", "ready 3", inEra(1, 90)))
+	changes := restoreAt(t, r, 10_000, 111, valued("e1", "ready 3", inEra(2, 80)), valued("e2", "ready 5", inEra(2, 70)),
+		valued("e3", "ready 1", inEra(2, 110)), valued("config", "v 1", inEra(2, 71)))
+	assert.Equal(t, []string{"e1", "e3", "config"}, changedKeys(changes), "e3 is newer than the mirror was")
+	call := r.Begin(r.Next(11_200), 11_200, 11_200)
+	changes = r.HandleEvents(call, 11_200, []Item{valued("e2", "ready 6", inEra(2, 112))}, inEra(2, 112))
+	assert.Equal(t, []string{"e2"}, changedKeys(changes), "it runs")
+}
