mirror: a removal that is held back outlives a restore

Callers: requests that reach a replica which has left, for seconds, after the store was restored from an older copy.

Cause: a removal that a daemon learns of while the store fails is held back for 2.2 s, since the key may have lapsed. If the store was restored in this time from a copy that has the entry, the removal was forgotten and the entry stayed in use until the store removed it again.

Change: the replica goes out of use at the end of the time for which its removal was held back, and the entry of the copy takes effect 15 s after the restore, or when it is written again.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -100,7 +100,7 @@
 func (m *Mirror) Held() int {
 	n := 0
 	for _, d := range m.deferred {
-		if d.lapsed {
+		if d.lapsed || d.dropAt > 0 {
 			n++
 		}
 	}
@@ -163,11 +163,12 @@
 	}
 	var fresh []Item
 	for _, change := range changes {
-		switch {
-		case !m.revision.Before(change.revision):
-		case change.removed:
+		if !m.revision.Before(change.revision) {
+			continue
+		}
+		if change.removed {
 			fresh = m.remove(now, fresh, change)
-		default:
+		} else {
 			fresh = append(fresh, m.put([]Item{change})...)
 		}
 	}
@@ -249,13 +250,14 @@
 
 // Expire applies the changes that have been held back for long enough, and returns them.
 func (m *Mirror) Expire(now clock.Millis) []Item {
-	return m.applyDeferred(now, func(d *deferredChange) bool {
+	changes := m.dropHeld(now)
+	return append(changes, m.applyDeferred(now, func(d *deferredChange) bool {
 		if d.lapsed {
 			// A failure of the store since then extends the grace period.
 			d.until = max(d.until, m.storeFailedAt+lapseGracePeriod)
 		}
 		return now >= d.until
-	})
+	})...)
 }
 
 // ConfirmRemovals applies the held removals of lapsed keys up to a revision, and returns them.
--- a/core/mirror/restore.go
+++ b/core/mirror/restore.go
@@ -53,6 +53,9 @@
 	// lapsed means that the key may have lapsed although its writer is alive. Other changes
 	// are deferred because the store was restored from an older copy.
 	lapsed bool
+	// dropAt is when the item in effect is dropped, although the change is one to another item, or
+	// 0. Its removal was held back as that of a lapsed key when the store was restored.
+	dropAt clock.Millis
 }
 
 // recentRemoval is a key that was removed at an instant.
@@ -73,6 +76,7 @@
 	previous := m.revision
 	m.revision, m.compactedRevision, m.restoredAt = revision, revision, now
 	m.tombstones = m.tombstones[:0]
+	held := m.deferred
 	m.deferred = nil
 	removed := m.recentlyRemoved(now)
 	listed := make(map[string]bool, len(items))
@@ -85,9 +89,17 @@
 		if !ok && (removed[item.key] || outdated) {
 			known, ok = NewRemoval(item.key, previous), true
 		}
+		h := held[item.key]
+		if ok && h.lapsed {
+			known = NewRemoval(item.key, previous)
+		}
 		if ok {
 			if period := m.retention(known, item); period > 0 {
-				m.postpone(deferredChange{change: item, until: now + period})
+				d := deferredChange{change: item, until: now + period}
+				if h.lapsed {
+					d.dropAt = h.until
+				}
+				m.postpone(d)
 				continue
 			}
 		}
@@ -101,9 +113,11 @@
 				changes = append(changes, removal)
 				continue
 			}
-			m.postpone(deferredChange{
-				change: removal, until: now + m.retention(known, removal), lapsed: m.kind(key) == Ephemeral,
-			})
+			d := deferredChange{change: removal, until: now + m.retention(known, removal), lapsed: m.kind(key) == Ephemeral}
+			if h := held[key]; h.lapsed {
+				d.until, d.lapsed = h.until, true
+			}
+			m.postpone(d)
 		}
 	}
 	return changes
@@ -154,6 +168,25 @@
 	m.deferred[d.change.key] = d
 }
 
+// dropHeld drops the items whose removal was held back when the store was restored, and returns
+// the removals.
+func (m *Mirror) dropHeld(now clock.Millis) []Item {
+	var changes []Item
+	for key, d := range m.deferred {
+		if d.dropAt == 0 || now < max(d.dropAt, m.storeFailedAt+lapseGracePeriod) {
+			continue
+		}
+		d.dropAt = 0
+		m.postpone(d)
+		if _, ok := m.items[key]; ok {
+			delete(m.items, key)
+			m.recordRemoval(now, key)
+			changes = append(changes, NewRemoval(key, m.revision))
+		}
+	}
+	return changes
+}
+
 // recordRemoval remembers that a key was removed.
 func (m *Mirror) recordRemoval(now clock.Millis, key string) {
 	m.removals = append(m.removals, recentRemoval{key: key, at: now})
--- a/core/mirror/restore_test.go
+++ b/core/mirror/restore_test.go
@@ -392,3 +392,27 @@
 	changes = r.HandleEvents(call, 11_200, []Item{valued("e2", "ready 6", inEra(2, 112))}, inEra(2, 112))
 	assert.Equal(t, []string{"e2"}, changedKeys(changes), "it runs")
 }
+
+// Guards against a replica that has left and stays in use: its removal was held back, because the store
+// failed, when the store was restored from a copy that has its entry.
+func TestHeldRemovalOutlivesRestore(t *testing.T) {
+	for name, listed := range map[string][]Item{"listed": {valued("e1", "ready 3", inEra(2, 80))}, "missing": nil} {
+		t.Run(name, func(t *testing.T) {
+			r := newRestoredReader(valued("e1", "ready 3", inEra(1, 90)))
+			r.RecordFailure(r.Begin(r.Next(1200), 1200, 1200), 1200, ErrUnavailable)
+			assert.Empty(t, r.HandlePeerReply(1300, []Item{NewRemoval("e1", inEra(1, 101))}, false, inEra(1, 101), 0))
+			restoreAt(t, r, 2000, 85, listed...)
+			_, used := r.mirror.Get("e1")
+			assert.True(t, used, "it may have lapsed")
+			assert.Equal(t, 1, r.mirror.Held())
+			assert.Empty(t, r.mirror.Expire(1200+lapseGracePeriod-1))
+			assert.Equal(t, []string{"-e1"}, changedKeys(r.mirror.Expire(1200+lapseGracePeriod)))
+			assert.Zero(t, r.mirror.Held())
+			items, _, _ := r.mirror.ChangesSince(Revision{})
+			assert.Len(t, items, len(listed), "for a peer")
+			call := r.Begin(r.Next(4000), 4000, 4000)
+			assert.Equal(t, []string{"e1"},
+				changedKeys(r.HandleEvents(call, 4000, []Item{valued("e1", "ready 4", inEra(2, 86))}, inEra(2, 86))), "it runs")
+		})
+	}
+}
