mirror: entries of replicas that are not written again are out of effect

Callers: after the store was restored from an older copy, requests reach replicas which have left, until the store removes their entries again: from daemons that started about the return, and from all daemons if the leaving was confirmed just before the store went away, so that none learned of it.

Cause: the copy lists the replica, and these daemons know nothing else. The store removes the entry after three intervals of silence (3.6 s), and a watch reads that up to 1.1 s later, which is after the daemons are in touch.

Change: from the first listing, and from each restore, the mirror watches which entries are written again. Those of single replicas that are silent for 3 s, or twice as long as most replicas took, are taken out of effect until they are written, for a minute at most. Nothing is done if over a quarter are silent, or no changes arrive.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -82,6 +82,8 @@
 	storeFailedAt     clock.Millis // latest failure of the store, or 0
 	restoredAt        clock.Millis // when the mirror passed to its era
 	highest           uint64       // number of a revision in earlier eras that a copy may be from
+	appliedAt         clock.Millis // latest changes or listing
+	silence           silenceCheck
 }
 
 // SetSchema describes the items. Without a schema all of them are durable.
@@ -143,6 +145,7 @@
 		}
 	}
 	slices.SortFunc(changes, func(a, b Item) int { return cmp.Compare(a.key, b.key) })
+	m.recordListing(now, items)
 	m.complete = true
 	// Removals between the old revision and that of the listing are unknown.
 	m.compactedRevision = revision
@@ -161,11 +164,15 @@
 	if revision.era != m.revision.era && m.complete {
 		return nil
 	}
+	if len(changes) > 0 {
+		m.appliedAt = now
+	}
 	var fresh []Item
 	for _, change := range changes {
 		if !m.revision.Before(change.revision) {
 			continue
 		}
+		m.silence.recordWrite(now, change.key)
 		if change.removed {
 			fresh = m.remove(now, fresh, change)
 		} else {
@@ -249,15 +256,18 @@
 }
 
 // Expire applies the changes that have been held back for long enough, and returns them.
+//
+// It also returns the removals of replicas that are found silent; see silenceCheck.
 func (m *Mirror) Expire(now clock.Millis) []Item {
 	changes := m.dropHeld(now)
-	return append(changes, m.applyDeferred(now, func(d *deferredChange) bool {
+	changes = append(changes, m.applyDeferred(now, func(d *deferredChange) bool {
 		if d.lapsed {
 			// A failure of the store since then extends the grace period.
 			d.until = max(d.until, m.storeFailedAt+lapseGracePeriod)
 		}
 		return now >= d.until
 	})...)
+	return append(changes, m.withdrawSilent(now)...)
 }
 
 // ConfirmRemovals applies the held removals of lapsed keys up to a revision, and returns them.
--- a/core/mirror/restore.go
+++ b/core/mirror/restore.go
@@ -78,6 +78,8 @@
 	m.tombstones = m.tombstones[:0]
 	held := m.deferred
 	m.deferred = nil
+	m.silence.start(now, m, items)
+	m.appliedAt = now
 	removed := m.recentlyRemoved(now)
 	listed := make(map[string]bool, len(items))
 	var changes []Item
--- /dev/null
+++ b/core/mirror/silence.go
@@ -0,0 +1,91 @@
+package mirror
+
+import "github.com/lovagegap/lovagegap/core/clock"
+
+const (
+	// minSilence is the least time without a write of an ephemeral key after which its writer
+	// counts as silent.
+	minSilence = 3 * clock.Second
+	// silenceFactor of the time within which most writers have written is the other bound.
+	silenceFactor = 2
+	// writtenFraction of the keys are most of them. With fewer the store, or a data centre, is at
+	// fault rather than single writers.
+	writtenFraction = 0.75
+	// maxWithdrawal is the time after which a key that the store still has is in effect again.
+	maxWithdrawal = clock.Minute
+	// maxApplyGap is the time without changes from which writes may be on their way.
+	maxApplyGap = 1500 * clock.Millisecond
+)
+
+// silenceCheck watches which of the ephemeral keys that a daemon finds at its start, or after a
+// restore of the store, are written again. The entry of a replica that has left may be back with the
+// copy. A daemon that has learned of the leaving knows that; the others find it by the silence, before
+// the store does. The zero value watches none.
+type silenceCheck struct {
+	since  clock.Millis
+	total  int
+	silent map[string]bool // not written since then
+	mostAt clock.Millis    // when most keys had been written, or 0
+}
+
+// start begins the check with the keys of the first listing.
+func (c *silenceCheck) start(now clock.Millis, m *Mirror, items []Item) {
+	*c = silenceCheck{since: now, silent: make(map[string]bool)}
+	for _, item := range items {
+		if m.kind(item.key) == Ephemeral {
+			c.silent[item.key] = true
+		}
+	}
+	c.total = len(c.silent)
+}
+
+// recordWrite records that a key was written or removed.
+func (c *silenceCheck) recordWrite(now clock.Millis, key string) {
+	if !c.silent[key] {
+		return
+	}
+	delete(c.silent, key)
+	if c.mostAt == 0 && float64(c.total-len(c.silent)) >= writtenFraction*float64(c.total) {
+		c.mostAt = now
+	}
+}
+
+// recordListing begins the check with the first listing, and records what a later one shows.
+func (m *Mirror) recordListing(now clock.Millis, items []Item) {
+	m.appliedAt = now
+	if !m.complete {
+		m.silence.start(now, m, items)
+		return
+	}
+	for _, item := range items {
+		if m.revision.Before(item.revision) {
+			m.silence.recordWrite(now, item.key)
+		}
+	}
+}
+
+// due reports whether the keys that are left count as silent, if the last changes were applied
+// at an instant.
+func (c *silenceCheck) due(now, appliedAt clock.Millis) bool {
+	return len(c.silent) > 0 && c.mostAt > 0 && now <= appliedAt+maxApplyGap &&
+		now >= c.since+max(minSilence, silenceFactor*(c.mostAt-c.since))
+}
+
+// withdrawSilent takes the keys of silent writers out of effect until they are written, and returns
+// the removals.
+func (m *Mirror) withdrawSilent(now clock.Millis) []Item {
+	if !m.silence.due(now, m.appliedAt) {
+		return nil
+	}
+	var changes []Item
+	for key := range m.silence.silent {
+		item, ok := m.items[key]
+		if _, isDeferred := m.deferred[key]; ok && !isDeferred {
+			m.postpone(deferredChange{change: item, until: now + maxWithdrawal})
+			delete(m.items, key)
+			changes = append(changes, NewRemoval(key, m.revision))
+		}
+	}
+	m.silence = silenceCheck{}
+	return changes
+}
--- /dev/null
+++ b/core/mirror/silence_test.go
@@ -0,0 +1,94 @@
+package mirror
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lovagegap/lovagegap/core/clock"
+)
+
+// newMirrorOfReplicas returns a mirror with the first listing of ten replicas and a
+// configuration, at revision 20.
+func newMirrorOfReplicas() *Mirror {
+	m := &Mirror{}
+	m.SetSchema(testSchema{})
+	items := []Item{valued("config", "v 1", revisionAt(1))}
+	for i := range 10 {
+		items = append(items, valued(fmt.Sprintf("e%d", i), "ready 1", revisionAt(uint64(i+2))))
+	}
+	m.Replace(1000, items, revisionAt(20))
+	return m
+}
+
+// writeReplicas applies writes of the entries of replicas.
+func writeReplicas(m *Mirror, now clock.Millis, first, count int) {
+	var changes []Item
+	revision := m.Revision().Number()
+	for i := first; i < first+count; i++ {
+		revision++
+		changes = append(changes, valued(fmt.Sprintf("e%d", i), "ready 2", revisionAt(revision)))
+	}
+	m.Apply(now, changes, revisionAt(revision))
+}
+
+// Guards against a replica that has left and is used by a daemon that starts: its entry is left over
+// from a copy that the store was restored from, until the store removes it.
+func TestSilentReplicaIsUnusedAfterStart(t *testing.T) {
+	m := newMirrorOfReplicas()
+	writeReplicas(m, 2100, 0, 8)
+	writeReplicas(m, 3300, 7, 2)
+	assert.Empty(t, m.Expire(1000+minSilence-1))
+	assert.Equal(t, []string{"-e9"}, changedKeys(m.Expire(1000+minSilence)), "the configuration stays")
+	assert.Empty(t, m.Expire(1000+minSilence))
+	items, _, _ := m.ChangesSince(Revision{})
+	assert.Len(t, items, 11, "for a peer")
+	assert.Empty(t, m.Replace(4100, append(items[:0:0], items...), m.Revision()), "listed again")
+	_, used := m.Get("e9")
+	assert.False(t, used)
+	assert.Equal(t, []string{"e9"}, changedKeys(m.Apply(4200, []Item{valued("e9", "ready 2", revisionAt(40))}, revisionAt(40))), "it runs")
+	assert.Empty(t, m.Expire(5000))
+}
+
+// Guards against replicas that are left unused although they run: their writes are slow, the store
+// does not take the writes of many of them, or the daemon gets no changes.
+func TestReplicaIsUsedUnlessItAloneIsSilent(t *testing.T) {
+	t.Run("slow writes", func(t *testing.T) {
+		m := newMirrorOfReplicas()
+		writeReplicas(m, 5000, 0, 9)
+		assert.Empty(t, m.Expire(5100))
+		writeReplicas(m, 8900, 0, 3)
+		assert.Equal(t, []string{"-e9"}, changedKeys(m.Expire(9000)), "after twice the time of the others")
+	})
+	t.Run("many silent", func(t *testing.T) {
+		m := newMirrorOfReplicas()
+		writeReplicas(m, 2100, 0, 7)
+		writeReplicas(m, 4000, 0, 7)
+		assert.Empty(t, m.Expire(4100))
+	})
+	t.Run("no changes", func(t *testing.T) {
+		m := newMirrorOfReplicas()
+		writeReplicas(m, 2100, 0, 9)
+		assert.Empty(t, m.Expire(2100+maxApplyGap+1))
+		assert.Empty(t, m.Expire(10_000))
+	})
+}
+
+// Guards against a replica whose leaving was lost with the copy that the store was restored from, before
+// any daemon learned of it.
+func TestSilentReplicaIsUnusedAfterRestore(t *testing.T) {
+	items := []Item{valued("e0", "ready 1", inEra(1, 90)), valued("e1", "ready 1", inEra(1, 91)), valued("e2", "ready 1", inEra(1, 92)),
+		valued("e3", "ready 1", inEra(1, 93))}
+	r := newRestoredReader(items...)
+	for i := range items {
+		items[i] = valued(items[i].Key(), "ready 1", inEra(2, items[i].Revision().Number()))
+	}
+	restoreAt(t, r, 60_000, 95, items...)
+	call := r.Begin(r.Next(61_200), 61_200, 61_200)
+	r.HandleEvents(call, 61_200, []Item{valued("e0", "ready 2", inEra(2, 96)), valued("e1", "ready 2", inEra(2, 97)),
+		valued("e2", "ready 2", inEra(2, 98))}, inEra(2, 98))
+	call = r.Begin(r.Next(62_400), 62_400, 62_400)
+	r.HandleEvents(call, 62_400, []Item{valued("e0", "ready 3", inEra(2, 99))}, inEra(2, 99))
+	assert.Equal(t, []string{"-e3"}, changedKeys(r.mirror.Expire(60_000+minSilence)))
+}
