mirror: batches of changes that end before the last page of a listing are applied

With a store that returns the changes in batches, a daemon whose listing came in pages would have inferred restores again and again, and listed the store each time.

Cause: a watch that began after the listing was taken to end after its last page.

Change: if the store states its era, a lower revision in the reply to a watch shows a restore only if it is below the one that the watch began after, and the reply is applied. Without a stated era the lower revision is the only sign of a restore, so that such a store would still be listed again and again.

The comparison of the simulations allowed an ephemeral item to go out of effect for any reason while a change is deferred. No simulation needs that; it is taken back.

Evidence: TestBatchBeforeLastPageIsApplied fails without the change.

--- a/core/mirror/history_test.go
+++ b/core/mirror/history_test.go
@@ -184,8 +184,8 @@
 		inEffect, _ := c.mirror.Get(name)
 		d, isDeferred := c.mirror.deferred[name]
 		written := !d.change.removed && d.change.revision.number > c.entered && !c.mirror.precedes(d.change, inEffect)
-		// A removal that was held back takes effect in the end, and so does the silence of a writer.
-		dropped := inEffect.key == "" && !d.change.removed && (c.dropping[key] || c.mirror.kind(name) == Ephemeral)
+		// A removal that was held back takes effect in the end.
+		dropped := inEffect.key == "" && !d.change.removed && c.dropping[key]
 		c.dropping[key] = d.dropAt > 0
 		if value := string(inEffect.value); isDeferred && value != c.effects[key] && !dropped {
 			return errors.Newf("at %v: %s changes from %q to %q although a change is deferred", revision, name, c.effects[key], value)
--- a/core/mirror/late_test.go
+++ b/core/mirror/late_test.go
@@ -280,3 +280,15 @@
 	r.HandlePage(call, 1120, []Item{item("d", 12)}, revisionAt(12), false)
 	assert.Equal(t, NewRevision(NewEra(0, 1), 12), r.mirror.Revision())
 }
+
+// Guards against a mirror that lists the store again and again, or stands still: the store returns the
+// changes in batches, of which the next one ends before the last page of the listing.
+func TestBatchBeforeLastPageIsApplied(t *testing.T) {
+	r := newTestReader(&Mirror{})
+	r.HandlePage(r.Begin(r.Next(0), 0, 0), 0, []Item{valued("a", "1", inEra(1, 5))}, inEra(1, 10), true)
+	r.HandlePage(r.Begin(r.Next(10), 10, 10), 10, []Item{valued("b", "1", inEra(1, 6))}, inEra(1, 20), false)
+	call := r.Begin(r.Next(1110), 1110, 1110)
+	assert.Equal(t, []string{"c"}, changedKeys(r.HandleEvents(call, 1110, []Item{valued("c", "1", inEra(1, 12))}, inEra(1, 12))))
+	assert.Equal(t, inEra(1, 12), r.mirror.Revision())
+	assert.Equal(t, Watch, r.Next(1110).Kind())
+}
--- a/core/mirror/reader.go
+++ b/core/mirror/reader.go
@@ -231,8 +231,13 @@
 // Resolve returns the revision of a reply of the store to the call. The store also went back, whatever era
 // it states, if the revision is lower than one that was known when the call began.
 func (c Call) Resolve(revision Revision) Revision {
+	lowest := c.known
+	if revision.era.stated > 0 && c.kind == Watch {
+		// A store that returns the changes in batches ends this one where it likes.
+		lowest = c.afterRevision
+	}
 	revision = revision.Resolve(c.era)
-	if revision.era == c.known.era && revision.number < c.known.number {
+	if revision.era == lowest.era && revision.number < lowest.number {
 		revision.era = revision.era.next()
 	}
 	return revision
@@ -320,8 +325,8 @@
 
 // endsWithinListing reports whether a reply ends at a revision from which on the mirror has
 // changes, but not all of them, because a listing came in several pages. The reply may hold
-// a write of a key that a later page has shown to be removed. The next watch ends after
-// the last page.
+// a write of a key that a later page has shown to be removed. A watch that begins now ends after the
+// last page, unless the store returns the changes in batches.
 func (r *Reader) endsWithinListing(revision Revision) bool {
 	return !revision.Before(r.mirror.Revision()) && revision.Before(r.listedThrough)
 }
@@ -368,7 +373,7 @@
 		// one, so that the reply lacks the changes up to it.
 		return nil
 	}
-	if r.endsWithinListing(revision) {
+	if r.endsWithinListing(revision) && call.known.Before(r.listedThrough) {
 		return nil
 	}
 	r.storeAsOf = max(r.storeAsOf, sent)
