mirror: a replica counts as silent only by what the store has shown

Callers: fewer replicas than there are, for up to 1.4 s after a daemon starts.

Cause: the silence of a replica was counted to the present instant, although writes since the last reply of the store are not known. The first reply after an outage made up for nothing.

Change: the silence counts to the last reply with changes. A check ends without a result if there were none for 2 s, or after 10 s, and waits for 2.2 s after a failure of the store, as removals do.

Evidence: TestReplicaIsUsedUnlessItAloneIsSilent fails without the change in "late writes", "no changes" and "store fails".

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -82,7 +82,6 @@
 	storeFailedAt     clock.Millis // latest failure of the store, or 0
 	restoredAt        clock.Millis // when the mirror passed to its era
 	highest           uint64       // number of a revision in earlier eras that a copy may be from
-	appliedAt         clock.Millis // latest changes or listing
 	silence           silenceCheck
 }
 
@@ -165,7 +164,7 @@
 		return nil
 	}
 	if len(changes) > 0 {
-		m.appliedAt = now
+		m.silence.recordReply(now)
 	}
 	var fresh []Item
 	for _, change := range changes {
--- a/core/mirror/restore.go
+++ b/core/mirror/restore.go
@@ -79,14 +79,14 @@
 	held := m.deferred
 	m.deferred = nil
 	m.silence.start(now, m, items)
-	m.appliedAt = now
 	removed := m.recentlyRemoved(now)
 	listed := make(map[string]bool, len(items))
 	var changes []Item
 	for _, item := range items {
 		listed[item.key] = true
 		known, ok := m.items[item.key]
-		// The mirror had all keys, so that an entry of that time has been removed.
+		// The mirror had all keys, so that an entry of that time has been removed. A new one with a
+		// revision that was issued again takes effect when it is written next.
 		outdated := m.kind(item.key) == Ephemeral && item.revision.number <= m.highest
 		if !ok && (removed[item.key] || outdated) {
 			known, ok = NewRemoval(item.key, previous), true
--- a/core/mirror/silence.go
+++ b/core/mirror/silence.go
@@ -13,8 +13,11 @@
 	writtenFraction = 0.75
 	// maxWithdrawal is the time after which a key that the store still has is in effect again.
 	maxWithdrawal = clock.Minute
-	// maxApplyGap is the time without changes from which writes may be on their way.
-	maxApplyGap = 1500 * clock.Millisecond
+	// maxApplyGap is the time between two replies with changes from which the store, or this
+	// daemon, may have stood still.
+	maxApplyGap = 2 * clock.Second
+	// maxSilenceCheck is the time after which a check without a result ends.
+	maxSilenceCheck = 10 * clock.Second
 )
 
 // silenceCheck watches which of the ephemeral keys that a daemon finds at its start, or after a
@@ -26,11 +29,13 @@
 	total  int
 	silent map[string]bool // not written since then
 	mostAt clock.Millis    // when most keys had been written, or 0
+	// appliedAt is when changes were last applied.
+	appliedAt clock.Millis
 }
 
 // start begins the check with the keys of the first listing.
 func (c *silenceCheck) start(now clock.Millis, m *Mirror, items []Item) {
-	*c = silenceCheck{since: now, silent: make(map[string]bool)}
+	*c = silenceCheck{since: now, appliedAt: now, silent: make(map[string]bool)}
 	for _, item := range items {
 		if m.kind(item.key) == Ephemeral {
 			c.silent[item.key] = true
@@ -39,6 +44,14 @@
 	c.total = len(c.silent)
 }
 
+// recordReply records that changes were applied.
+func (c *silenceCheck) recordReply(now clock.Millis) {
+	if now > c.appliedAt+maxApplyGap || now > c.since+maxSilenceCheck {
+		*c = silenceCheck{}
+	}
+	c.appliedAt = now
+}
+
 // recordWrite records that a key was written or removed.
 func (c *silenceCheck) recordWrite(now clock.Millis, key string) {
 	if !c.silent[key] {
@@ -52,11 +65,11 @@
 
 // recordListing begins the check with the first listing, and records what a later one shows.
 func (m *Mirror) recordListing(now clock.Millis, items []Item) {
-	m.appliedAt = now
 	if !m.complete {
 		m.silence.start(now, m, items)
 		return
 	}
+	m.silence.recordReply(now)
 	for _, item := range items {
 		if m.revision.Before(item.revision) {
 			m.silence.recordWrite(now, item.key)
@@ -64,17 +77,16 @@
 	}
 }
 
-// due reports whether the keys that are left count as silent, if the last changes were applied
-// at an instant.
-func (c *silenceCheck) due(now, appliedAt clock.Millis) bool {
-	return len(c.silent) > 0 && c.mostAt > 0 && now <= appliedAt+maxApplyGap &&
-		now >= c.since+max(minSilence, silenceFactor*(c.mostAt-c.since))
+// due reports whether the keys that are left count as silent. What was written since the last
+// changes were applied is not known.
+func (c *silenceCheck) due() bool {
+	return len(c.silent) > 0 && c.mostAt > 0 && c.appliedAt >= c.since+max(minSilence, silenceFactor*(c.mostAt-c.since))
 }
 
 // withdrawSilent takes the keys of silent writers out of effect until they are written, and returns
 // the removals.
 func (m *Mirror) withdrawSilent(now clock.Millis) []Item {
-	if !m.silence.due(now, m.appliedAt) {
+	if !m.silence.due() || (m.storeFailedAt > 0 && now < m.storeFailedAt+lapseGracePeriod) {
 		return nil
 	}
 	var changes []Item
