gateway: daemons that do not know eras are sent changes

During an upgrade of the fleet, with a store that states its era, each request of a follower of the earlier version would have been answered at once with a complete copy.

Change: the era in a request is absent if the sender does not know eras; its revision then counts as of the present era.

Evidence: TestFollowerWithoutEraGetsChanges.

--- a/entry/gateway/mirror_peer.go
+++ b/entry/gateway/mirror_peer.go
@@ -94,13 +94,26 @@
 	Observations  []wireObservation `cbor:"4,keyasint,omitempty"`
 	// ProofAgeMs is the age of the sender's proof, or 0 if its configuration has no tenants.
 	ProofAgeMs float64 `cbor:"5,keyasint,omitempty"`
-	// Era is that of AfterRevision.
-	Era wireEra `cbor:"6,keyasint,omitzero"`
+	// Era is that of AfterRevision. A daemon of an earlier version does not send it.
+	Era *wireEra `cbor:"6,keyasint,omitempty"`
 }
 
-// after returns the revision after which the sender wants changes.
-func (r mirrorRequest) after() mirror.Revision {
-	return mirror.NewRevision(r.Era.era(), r.AfterRevision)
+// newMirrorRequest returns a request of a daemon for the changes after a revision.
+func newMirrorRequest(sender string, after mirror.Revision) mirrorRequest {
+	era := newWireEra(after.Era())
+	return mirrorRequest{Sender: sender, AfterRevision: after.Number(), Era: &era}
+}
+
+// after returns the revision after which the sender wants changes. One without an era counts as
+// of the present one.
+func (r mirrorRequest) after(present mirror.Era) mirror.Revision {
+	switch {
+	case r.Era != nil:
+		return mirror.NewRevision(r.Era.era(), r.AfterRevision)
+	case r.AfterRevision == 0:
+		return mirror.Revision{}
+	}
+	return mirror.NewRevision(present, r.AfterRevision)
 }
 
 // wireEra is an era of the store as it is sent between daemons. The fields are those of
--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -296,11 +296,9 @@
 // followPeer waits for changes of the mirror of a peer, and exchanges observations
 // of replicas with it.
 func (s *mirrorSyncer) followPeer(ctx context.Context, call mirror.Call) {
-	request := mirrorRequest{
-		Sender: s.gateway.config.PeerAddress, WaitMs: float64(call.Wait()),
-		AfterRevision: call.AfterRevision().Number(), Era: newWireEra(call.AfterRevision().Era()),
-		Observations: encodeObservations(s.gateway.engine.Observations()),
-	}
+	request := newMirrorRequest(s.gateway.config.PeerAddress, call.AfterRevision())
+	request.WaitMs = float64(call.Wait())
+	request.Observations = encodeObservations(s.gateway.engine.Observations())
 	sentAt := s.suspendingNow()
 	if s.gateway.engine.HasTenants() {
 		s.mu.Lock()
@@ -540,7 +538,7 @@
 	s.mu.Unlock()
 	began, sentAt := s.now(), s.suspendingNow()
 	reply, err := fetchMirror(ctx, s.gateway.config.Key, peer,
-		mirrorRequest{Sender: s.gateway.config.PeerAddress, AfterRevision: after.Number(), Era: newWireEra(after.Era())})
+		newMirrorRequest(s.gateway.config.PeerAddress, after))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -576,7 +574,7 @@
 		changed := s.changed
 		s.mu.Unlock()
 		reply, newerProof := s.changesFor(request, arrivedAt)
-		if request.WaitMs <= 0 || reply.Revision == 0 || len(reply.Items) > 0 || newerProof || reply.Era != request.Era {
+		if request.WaitMs <= 0 || reply.Revision == 0 || len(reply.Items) > 0 || newerProof || (request.Era != nil && reply.Era != *request.Era) {
 			return reply
 		}
 		select {
@@ -597,7 +595,9 @@
 // and applies what they confirm. It also takes note of the follower's era.
 func (s *mirrorSyncer) recordObservations(request mirrorRequest) {
 	s.mu.Lock()
-	s.reader.ObserveEra(s.now(), request.Era.era())
+	if request.Era != nil {
+		s.reader.ObserveEra(s.now(), request.Era.era())
+	}
 	s.observations.Record(s.now(), request.Sender, decodeObservations(request.Observations))
 	confirmed := s.observationsFor(s.gateway.config.PeerAddress)
 	s.mu.Unlock()
@@ -623,7 +623,7 @@
 	if !s.mirror.Complete() {
 		return mirrorReply{}, false
 	}
-	items, complete, revision := s.mirror.ChangesSince(request.after())
+	items, complete, revision := s.mirror.ChangesSince(request.after(s.mirror.Revision().Era()))
 	reply = mirrorReply{
 		Complete: complete, Revision: revision.Number(), Era: newWireEra(revision.Era()), AgeMs: float64(s.reader.Age(s.now())),
 		Observations: encodeObservations(s.observationsFor(request.Sender)), Settled: s.reader.Settled(s.now()),
--- a/entry/gateway/mirror_syncer_test.go
+++ b/entry/gateway/mirror_syncer_test.go
@@ -286,3 +286,24 @@
 	}
 	assert.Greater(t, latest, 10_000+reregistrationSpread/2)
 }
+
+// Guards against complete copies for each request of a daemon that does not know eras, during an
+// upgrade of the fleet.
+func TestFollowerWithoutEraGetsChanges(t *testing.T) {
+	s := newTestGateway(t).mirrorSyncer
+	era := mirror.NewEra(3, 0)
+	s.applyChanges(s.reader.HandlePage(mirror.Call{}, s.now(), []mirror.Item{mirror.NewItem("a", nil, mirror.NewRevision(era, 3))},
+		mirror.NewRevision(era, 4), false))
+	began := time.Now()
+	reply := s.waitForChanges(t.Context(), mirrorRequest{Sender: "b", AfterRevision: 4, WaitMs: 60})
+	assert.Empty(t, reply.Items)
+	assert.GreaterOrEqual(t, time.Since(began), 60*time.Millisecond)
+	assert.Len(t, s.waitForChanges(t.Context(), mirrorRequest{Sender: "b"}).Items, 1, "a first copy")
+
+	began = time.Now()
+	reply = s.waitForChanges(t.Context(), newMirrorRequest("b", mirror.NewRevision(mirror.NewEra(2, 0), 4)))
+	assert.True(t, reply.Complete, "of an earlier era")
+	reply = s.waitForChanges(t.Context(), newMirrorRequest("b", mirror.NewRevision(mirror.NewEra(4, 0), 4)))
+	assert.Empty(t, reply.Items, "of a later era")
+	assert.Less(t, time.Since(began), time.Second)
+}
