--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -81,7 +81,7 @@
 	complete          bool
 	storeFailedAt     clock.Millis // latest failure of the store, or 0
 	restoredAt        clock.Millis // when the mirror passed to its era
-	highest           uint64       // number of a revision in earlier eras that a copy may be from
+	highestEarlier    uint64       // number of a revision in the eras that a copy may be from
 	silence           silenceCheck
 }
 
--- a/core/mirror/restore.go
+++ b/core/mirror/restore.go
@@ -70,13 +70,12 @@
 // effect for a time if the listed one may be older.
 func (m *Mirror) restore(now clock.Millis, items []Item, revision Revision) []Item {
 	if now > m.restoredAt+maxCopyAge {
-		m.highest = 0
+		m.highestEarlier = 0
 	}
-	m.highest = max(m.highest, m.revision.number)
-	previous := m.revision
+	m.highestEarlier = max(m.highestEarlier, m.revision.number)
+	earlier := m.deferred
 	m.revision, m.compactedRevision, m.restoredAt = revision, revision, now
 	m.tombstones = m.tombstones[:0]
-	held := m.deferred
 	m.deferred = nil
 	m.silence.start(now, m, items)
 	removed := m.recentlyRemoved(now)
@@ -84,45 +83,55 @@
 	var changes []Item
 	for _, item := range items {
 		listed[item.key] = true
-		known, ok := m.items[item.key]
-		// The mirror had all keys, so that an entry of that time has been removed. A new one with a
-		// revision that was issued again takes effect when it is written next.
-		outdated := m.kind(item.key) == Ephemeral && item.revision.number <= m.highest
-		if !ok && (removed[item.key] || outdated) {
-			known, ok = NewRemoval(item.key, previous), true
-		}
-		h := held[item.key]
-		if ok && h.lapsed {
-			known = NewRemoval(item.key, previous)
-		}
-		if ok {
-			if period := m.retention(known, item); period > 0 {
-				d := deferredChange{change: item, until: now + period}
-				if h.lapsed {
-					d.dropAt = h.until
-				}
-				m.postpone(d)
-				continue
-			}
-		}
-		changes = append(changes, m.put([]Item{item})...)
+		changes = append(changes, m.restoreListed(now, item, earlier[item.key], removed[item.key])...)
 	}
-	for key, known := range m.items {
+	for key := range m.items {
 		if !listed[key] {
-			removal := NewRemoval(key, revision)
-			if m.kind(key) == Conditional {
-				m.drop(now, key)
-				changes = append(changes, removal)
-				continue
-			}
-			d := deferredChange{change: removal, until: now + m.retention(known, removal), lapsed: m.kind(key) == Ephemeral}
-			if h := held[key]; h.lapsed {
-				d.until, d.lapsed = h.until, true
+			changes = append(changes, m.restoreMissing(now, key, earlier[key])...)
+		}
+	}
+	return changes
+}
+
+// restoreListed takes a listed item after a restore and returns the changes. Earlier is what was
+// deferred for the key, and removed says whether it was removed recently.
+func (m *Mirror) restoreListed(now clock.Millis, item Item, earlier deferredChange, removed bool) []Item {
+	known, ok := m.items[item.key]
+	// The mirror had all keys, so that an entry of that time has been removed. A new one with a
+	// revision that was issued again takes effect when it is written next.
+	outdated := m.kind(item.key) == Ephemeral && item.revision.number <= m.highestEarlier
+	if (!ok && (removed || outdated)) || (ok && earlier.lapsed) {
+		known, ok = NewRemoval(item.key, Revision{}), true
+	}
+	if ok {
+		if period := m.retention(known, item); period > 0 {
+			d := deferredChange{change: item, until: now + period}
+			if earlier.lapsed {
+				d.dropAt = earlier.until
 			}
 			m.postpone(d)
+			return nil
 		}
 	}
-	return changes
+	return m.put([]Item{item})
+}
+
+// restoreMissing defers the removal of a key that a listing after a restore lacks, and returns
+// the changes. Earlier is what was deferred for the key.
+func (m *Mirror) restoreMissing(now clock.Millis, key string, earlier deferredChange) []Item {
+	removal := NewRemoval(key, m.revision)
+	if m.kind(key) == Conditional {
+		m.drop(now, key)
+		return []Item{removal}
+	}
+	d := deferredChange{
+		change: removal, until: now + m.retention(m.items[key], removal), lapsed: m.kind(key) == Ephemeral,
+	}
+	if earlier.lapsed {
+		d.until, d.lapsed = earlier.until, true
+	}
+	m.postpone(d)
+	return nil
 }
 
 // retention returns for how long the known state of a key outlives the listed one after a
@@ -135,7 +144,7 @@
 		return lapseGracePeriod
 	case listed.removed:
 		return rewritePeriod
-	case listed.revision.number > m.highest:
+	case listed.revision.number > m.highestEarlier:
 		// It was written after what the mirror knows, in whichever era.
 		return 0
 	case known.removed && m.kind(known.key) == Restriction:
--- a/core/mirror/revision.go
+++ b/core/mirror/revision.go
@@ -29,7 +29,7 @@
 	return cmp.Or(cmp.Compare(e.stated, other.stated), cmp.Compare(e.inferred, other.inferred))
 }
 
-// next returns the era after a restore that the store does not state.
+// next returns the era after a restore that the store does not state. Call.Resolve infers it.
 func (e Era) next() Era { return Era{stated: e.stated, inferred: e.inferred + 1} }
 
 // String returns the number that the store states and, if there are any, that of inferred
