gateway: daemons learn of an era from the records of releases, too

With a store that states no era, a daemon that exchanges no mirrors with the others and has not noticed a restore stays in the earlier era. It ignores the directives of the others, and they its reports.

Change: the era in a report or a directive of a peer counts like that in a request for the mirror.

Evidence: TestRecordsOfReleasesTellEra fails without the change (the store is not listed again in 5 s).

--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -35,9 +35,10 @@
 	store   Store
 	random  *rand.Rand
 
-	sources      atomic.Pointer[[]string] // peers that may be followed
-	calls        sync.WaitGroup           // calls of the store that are open
-	registration registration             // used only by the goroutine of run
+	sources      atomic.Pointer[[]string]   // peers that may be followed
+	recordedEra  atomic.Pointer[mirror.Era] // latest one in records of peers
+	calls        sync.WaitGroup             // calls of the store that are open
+	registration registration               // used only by the goroutine of run
 
 	mu           sync.Mutex
 	mirror       mirror.Mirror
@@ -81,6 +82,9 @@
 		if peers := s.sources.Load(); peers != nil {
 			s.reader.SetSources(*peers)
 		}
+		if era := s.recordedEra.Load(); era != nil {
+			s.reader.ObserveEra(now, *era)
+		}
 		call := s.reader.Next(now)
 		s.mu.Unlock()
 		if delay := call.At() - now; delay > 0 {
@@ -293,6 +297,16 @@
 // lock held, so the two could deadlock.
 func (s *mirrorSyncer) setSources(peers []string) { s.sources.Store(&peers) }
 
+// observeEra takes the era in a record of a peer. Like setSources it must not take the lock.
+func (s *mirrorSyncer) observeEra(era mirror.Era) {
+	for {
+		known := s.recordedEra.Load()
+		if (known != nil && era.Compare(*known) <= 0) || s.recordedEra.CompareAndSwap(known, &era) {
+			return
+		}
+	}
+}
+
 // followPeer waits for changes of the mirror of a peer, and exchanges observations
 // of replicas with it.
 func (s *mirrorSyncer) followPeer(ctx context.Context, call mirror.Call) {
--- a/entry/gateway/releases.go
+++ b/entry/gateway/releases.go
@@ -300,11 +300,13 @@
 	case releaseReportKind:
 		if r := s.byService[service]; r != nil {
 			if report, err := release.DecodeReport(record.Body()); err == nil {
+				s.gateway.mirrorSyncer.observeEra(report.Revision.Era())
 				r.ReceiveReport(now, daemon, report)
 			}
 		}
 	case releaseDirectiveKind:
 		if directive, err := release.DecodeDirective(record.Body()); err == nil {
+			s.gateway.mirrorSyncer.observeEra(directive.Revision.Era())
 			// A daemon that the order has not reached must not use the new version.
 			s.of(service).ReceiveDirective(now, directive, releaseRecordLifetime-record.Lifetime())
 		}
--- a/entry/gateway/releases_test.go
+++ b/entry/gateway/releases_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/lovagegap/lovagegap/core/clock"
+	"github.com/lovagegap/lovagegap/core/fleet"
 	"github.com/lovagegap/lovagegap/core/mirror"
 	"github.com/lovagegap/lovagegap/core/release"
 	"github.com/lovagegap/lovagegap/entry/routing"
@@ -126,3 +128,55 @@
 		})
 	}
 }
+
+// Guards against a release that stands still because a daemon that exchanges no mirrors with the others
+// has not noticed a restore of the store: it ignores their directives, or they ignore its reports.
+func TestRecordsOfReleasesTellEra(t *testing.T) {
+	g := newTestGateway(t)
+	s := g.mirrorSyncer
+	s.applyChanges(s.reader.HandlePage(mirror.Call{}, s.now(), nil, revisionAt(4), false))
+	require.Equal(t, mirror.Watch, s.reader.Next(s.now()).Kind())
+	for _, inferred := range []uint64{2, 1} {
+		directive := release.Directive{Target: "v2", Revision: mirror.NewRevision(mirror.NewEra(0, inferred), 3), Sequence: 1}
+		g.releases.handleRecord(fleet.NewRecord(releaseDirectiveKind, "ledger\nb", 1, release.EncodeDirective(directive), releaseRecordLifetime))
+	}
+	store := &listedStore{listed: make(chan struct{}, 1)}
+	s.store = store
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		s.run(ctx)
+		close(done)
+	}()
+	select {
+	case <-store.listed:
+	case <-time.After(5 * time.Second):
+		t.Error("the store is not listed again")
+	}
+	cancel()
+	<-done
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	assert.Equal(t, mirror.NewEra(0, 2), s.mirror.Revision().Era())
+}
+
+// listedStore is a store whose listing is empty. It reports each one.
+type listedStore struct {
+	Store
+	listed chan struct{}
+}
+
+func (l *listedStore) List(context.Context, string, string) (Page, error) {
+	select {
+	case l.listed <- struct{}{}:
+	default:
+	}
+	return Page{Revision: revisionAt(5)}, nil
+}
+
+func (l *listedStore) Watch(ctx context.Context, _ string, _ uint64, _ clock.Millis) (Page, error) {
+	<-ctx.Done()
+	return Page{}, ctx.Err()
+}
+
+func (l *listedStore) Put(context.Context, string, []byte) error { return nil }
