mirror: after a restore a replica is silent from 2 s on

Callers: requests that reach a replica whose leaving was confirmed just before the store went away, so that no daemon had read it, for up to half a second after the daemons are in touch again.

Cause: a daemon finds a restore up to 1.1 s after the return, and counted 3 s of silence from then on.

Change: after a restore, when live replicas write again within about two seconds, 2 s are enough. At the start of a daemon it is 3 s as before.

TestSilentReplicaIsUnusedAfterRestore fails without it.

--- a/core/mirror/silence.go
+++ b/core/mirror/silence.go
@@ -4,10 +4,11 @@
 
 const (
 	// minSilence is the least time without a write of an ephemeral key after which its writer
-	// counts as silent.
-	minSilence = 3 * clock.Second
+	// counts as silent. After a restore of the store writers write again sooner.
+	minSilence             = 3 * clock.Second
+	minSilenceAfterRestore = 2 * clock.Second
 	// silenceFactor of the time within which most writers have written is the other bound.
-	silenceFactor = 2
+	silenceFactor = 1.8
 	// writtenFraction of the keys are most of them. With fewer the store, or a data centre, is at
 	// fault rather than single writers.
 	writtenFraction = 0.75
@@ -26,6 +27,7 @@
 // the store does. The zero value watches none.
 type silenceCheck struct {
 	since  clock.Millis
+	least  clock.Millis // without a write
 	total  int
 	silent map[string]bool // not written since then
 	mostAt clock.Millis    // when most keys had been written, or 0
@@ -33,9 +35,9 @@
 	appliedAt clock.Millis
 }
 
-// start begins the check with the keys of the first listing.
-func (c *silenceCheck) start(now clock.Millis, m *Mirror, items []Item) {
-	*c = silenceCheck{since: now, appliedAt: now, silent: make(map[string]bool)}
+// start begins the check with the keys of a listing and the least time without a write.
+func (c *silenceCheck) start(now, least clock.Millis, m *Mirror, items []Item) {
+	*c = silenceCheck{since: now, least: least, appliedAt: now, silent: make(map[string]bool)}
 	for _, item := range items {
 		if m.kind(item.key) == Ephemeral {
 			c.silent[item.key] = true
@@ -66,7 +68,7 @@
 // recordListing begins the check with the first listing, and records what a later one shows.
 func (m *Mirror) recordListing(now clock.Millis, items []Item) {
 	if !m.complete {
-		m.silence.start(now, m, items)
+		m.silence.start(now, minSilence, m, items)
 		return
 	}
 	m.silence.recordReply(now)
@@ -80,7 +82,7 @@
 // due reports whether the keys that are left count as silent. What was written since the last
 // changes were applied is not known.
 func (c *silenceCheck) due() bool {
-	return len(c.silent) > 0 && c.mostAt > 0 && c.appliedAt >= c.since+max(minSilence, silenceFactor*(c.mostAt-c.since))
+	return len(c.silent) > 0 && c.mostAt > 0 && c.appliedAt >= c.since+max(c.least, silenceFactor*(c.mostAt-c.since))
 }
 
 // withdrawSilent takes the keys of silent writers out of effect until they are written, and returns
