gateway: entries of silent replicas are logged and counted apart

Operators could not tell an entry that was taken out of effect, because its replica does not write, from a removal that was held back.

Change: the line 'entry is not written again' with its key, and the metric store.silent-entries. Mirror.Expire no longer does both.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -14,6 +14,7 @@
 //	changes := m.Replace(now, items, revision)         // a complete listing
 //	changes = m.Apply(now, events, revision)           // the reply of a watch, or of a peer
 //	changes = m.Expire(now)                            // changes that were held back
+//	changes = m.WithdrawSilent(now)                    // entries of replicas that do not write
 //	items, complete, revision := m.ChangesSince(after) // for a peer
 //
 // The store may be restored from an older copy and issue revisions again. Each Revision
@@ -108,7 +109,8 @@
 	return n
 }
 
-// Retained returns the number of other keys that differ from the store since it was restored.
+// Retained returns the number of other keys that differ from the store, since it was restored
+// or their writers are silent.
 func (m *Mirror) Retained() int { return len(m.deferred) - m.Held() }
 
 // RecordStoreFailure records that a call of the store failed at now. Removals up to
@@ -255,18 +257,15 @@
 }
 
 // Expire applies the changes that have been held back for long enough, and returns them.
-//
-// It also returns the removals of replicas that are found silent; see silenceCheck.
 func (m *Mirror) Expire(now clock.Millis) []Item {
 	changes := m.dropHeld(now)
-	changes = append(changes, m.applyDeferred(now, func(d *deferredChange) bool {
+	return append(changes, m.applyDeferred(now, func(d *deferredChange) bool {
 		if d.lapsed {
 			// A failure of the store since then extends the grace period.
 			d.until = max(d.until, m.storeFailedAt+lapseGracePeriod)
 		}
 		return now >= d.until
 	})...)
-	return append(changes, m.withdrawSilent(now)...)
 }
 
 // ConfirmRemovals applies the held removals of lapsed keys up to a revision, and returns them.
--- a/core/mirror/silence.go
+++ b/core/mirror/silence.go
@@ -85,9 +85,9 @@
 	return len(c.silent) > 0 && c.mostAt > 0 && c.appliedAt >= c.since+max(c.least, silenceFactor*(c.mostAt-c.since))
 }
 
-// withdrawSilent takes the keys of silent writers out of effect until they are written, and returns
+// WithdrawSilent takes the keys of silent writers out of effect until they are written, and returns
 // the removals.
-func (m *Mirror) withdrawSilent(now clock.Millis) []Item {
+func (m *Mirror) WithdrawSilent(now clock.Millis) []Item {
 	if !m.silence.due() || (m.storeFailedAt > 0 && now < m.storeFailedAt+lapseGracePeriod) {
 		return nil
 	}
--- a/core/mirror/silence_test.go
+++ b/core/mirror/silence_test.go
@@ -39,17 +39,17 @@
 	m := newMirrorOfReplicas()
 	writeReplicas(m, 2100, 0, 8)
 	writeReplicas(m, 3300, 7, 2)
-	assert.Empty(t, m.Expire(1000+minSilence), "later writes are not known")
+	assert.Empty(t, m.WithdrawSilent(1000+minSilence), "later writes are not known")
 	writeReplicas(m, 4300, 0, 1)
-	assert.Equal(t, []string{"-e9"}, changedKeys(m.Expire(4300)), "the configuration stays")
-	assert.Empty(t, m.Expire(4300))
+	assert.Equal(t, []string{"-e9"}, changedKeys(m.WithdrawSilent(4300)), "the configuration stays")
+	assert.Empty(t, m.WithdrawSilent(4300))
 	items, _, _ := m.ChangesSince(Revision{})
 	assert.Len(t, items, 11, "for a peer")
 	assert.Empty(t, m.Replace(4400, append(items[:0:0], items...), m.Revision()), "listed again")
 	_, used := m.Get("e9")
 	assert.False(t, used)
 	assert.Equal(t, []string{"e9"}, changedKeys(m.Apply(4500, []Item{valued("e9", "ready 2", revisionAt(40))}, revisionAt(40))), "it runs")
-	assert.Empty(t, m.Expire(5000))
+	assert.Empty(t, m.WithdrawSilent(5000))
 }
 
 // Guards against replicas that are left unused although they run: their writes are slow, the store
@@ -61,15 +61,15 @@
 		writeReplicas(m, 4400, 1, 8)
 		writeReplicas(m, 6000, 0, 1)
 		writeReplicas(m, 7100, 0, 3)
-		assert.Empty(t, m.Expire(7190))
+		assert.Empty(t, m.WithdrawSilent(7190))
 		writeReplicas(m, 7200, 0, 3)
-		assert.Equal(t, []string{"-e9"}, changedKeys(m.Expire(7200)), "the others took long, too")
+		assert.Equal(t, []string{"-e9"}, changedKeys(m.WithdrawSilent(7200)), "the others took long, too")
 	})
 	t.Run("many silent", func(t *testing.T) {
 		m := newMirrorOfReplicas()
 		for now := clock.Millis(2100); now < clock.Minute; now += 1100 {
 			writeReplicas(m, now, 0, 7)
-			assert.Empty(t, m.Expire(now))
+			assert.Empty(t, m.WithdrawSilent(now))
 		}
 	})
 	t.Run("late writes", func(t *testing.T) {
@@ -77,25 +77,25 @@
 		writeReplicas(m, 2100, 0, 9)
 		writeReplicas(m, 3200, 0, 9)
 		writeReplicas(m, 4300, 9, 1)
-		assert.Empty(t, m.Expire(4300), "written between the last two replies")
+		assert.Empty(t, m.WithdrawSilent(4300), "written between the last two replies")
 	})
 	t.Run("no changes", func(t *testing.T) {
 		m := newMirrorOfReplicas()
 		writeReplicas(m, 2100, 0, 9)
-		assert.Empty(t, m.Expire(10_000))
+		assert.Empty(t, m.WithdrawSilent(10_000))
 		writeReplicas(m, 10_000, 0, 4)
-		assert.Empty(t, m.Expire(10_000), "the store was away")
+		assert.Empty(t, m.WithdrawSilent(10_000), "the store was away")
 		writeReplicas(m, 11_000, 4, 5)
-		assert.Empty(t, m.Expire(11_000))
+		assert.Empty(t, m.WithdrawSilent(11_000))
 	})
 	t.Run("store fails", func(t *testing.T) {
 		m := newMirrorOfReplicas()
 		writeReplicas(m, 2100, 0, 9)
 		m.RecordStoreFailure(3000)
 		writeReplicas(m, 4050, 0, 9)
-		assert.Empty(t, m.Expire(4050), "writes may be late")
+		assert.Empty(t, m.WithdrawSilent(4050), "writes may be late")
 		writeReplicas(m, 5100, 9, 1)
-		assert.Empty(t, m.Expire(3000+lapseGracePeriod))
+		assert.Empty(t, m.WithdrawSilent(3000+lapseGracePeriod))
 	})
 }
 
@@ -114,5 +114,5 @@
 		valued("e2", "ready 2", inEra(2, 98))}, inEra(2, 98))
 	call = r.Begin(r.Next(62_400), 62_400, 62_400)
 	r.HandleEvents(call, 62_400, []Item{valued("e0", "ready 3", inEra(2, 99))}, inEra(2, 99))
-	assert.Equal(t, []string{"-e3"}, changedKeys(r.mirror.Expire(62_400)))
+	assert.Equal(t, []string{"-e3"}, changedKeys(r.mirror.WithdrawSilent(62_400)))
 }
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -29,10 +29,11 @@
 	reached, age, calls := g.mirrorSyncer.storeMetrics()
 	set("store.reached", reached)
 	set("store.age-ms", age)
-	stated, inferred, retained := g.mirrorSyncer.restoreMetrics()
+	stated, inferred, retained, silent := g.mirrorSyncer.restoreMetrics()
 	set("store.era", stated)
 	set("store.inferred-restores", inferred)
 	set("store.retained-keys", retained)
+	set("store.silent-entries", silent)
 	set("store.held-removals", g.mirrorSyncer.heldRemovals())
 	for name, count := range calls {
 		set("store.calls."+name, count)
--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -40,14 +40,15 @@
 	calls        sync.WaitGroup             // calls of the store that are open
 	registration registration               // used only by the goroutine of run
 
-	mu           sync.Mutex
-	mirror       mirror.Mirror
-	reader       *mirror.Reader
-	configured   bool          // whether Gateway.configured is closed
-	changed      chan struct{} // closed when the mirror changes
-	observations replica.ObservationMerger
-	callCounts   map[string]int64 // by kind of call and outcome
-	outdatedFrom clock.Millis     // when the mirror was last current before it became outdated; 0 while it is not
+	mu            sync.Mutex
+	mirror        mirror.Mirror
+	reader        *mirror.Reader
+	configured    bool          // whether Gateway.configured is closed
+	changed       chan struct{} // closed when the mirror changes
+	observations  replica.ObservationMerger
+	callCounts    map[string]int64 // by kind of call and outcome
+	silentEntries int64            // taken out of effect so far
+	outdatedFrom  clock.Millis     // when the mirror was last current before it became outdated; 0 while it is not
 }
 
 func newMirrorSyncer(g *Gateway) *mirrorSyncer {
@@ -256,9 +257,19 @@
 	}
 }
 
-// applyExpired applies the changes that have been held back for long enough. The caller
-// holds the lock.
-func (s *mirrorSyncer) applyExpired(now clock.Millis) { s.applyHeld(s.mirror.Expire(now), "expired") }
+// applyExpired applies the changes that have been held back for long enough, and takes entries
+// of silent replicas out of effect. The caller holds the lock.
+func (s *mirrorSyncer) applyExpired(now clock.Millis) {
+	s.applyHeld(s.mirror.Expire(now), "expired")
+	silent := s.mirror.WithdrawSilent(now)
+	for _, item := range silent {
+		s.log.V(1).Info("entry is not written again", "key", item.Key(), "mirrored", s.mirror.Revision().String())
+	}
+	if len(silent) > 0 {
+		s.silentEntries += int64(len(silent))
+		s.applyChanges(silent)
+	}
+}
 
 // applySettled applies the removals that the reply of a daemon confirms. The caller holds
 // the lock.
@@ -417,12 +428,13 @@
 }
 
 // restoreMetrics returns the era that the store states, the number of later restores that
-// were inferred, and the number of keys that still differ from the restored store.
-func (s *mirrorSyncer) restoreMetrics() (stated, inferred, retained int64) {
+// were inferred, the number of keys that differ from the store, and the number of entries of
+// silent replicas so far.
+func (s *mirrorSyncer) restoreMetrics() (stated, inferred, retained, silent int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	era := s.mirror.Revision().Era()
-	return int64(era.Stated()), int64(era.Inferred()), int64(s.mirror.Retained())
+	return int64(era.Stated()), int64(era.Inferred()), int64(s.mirror.Retained()), s.silentEntries
 }
 
 // storeMetrics returns 1 or 0 for whether the store is reachable, the age of the
