mirror: a removal that is held back outlives a second restore

Callers: requests that reach a replica which has left, for seconds, after the store was restored twice in a row.

Cause: after the first restore the end of the held removal was kept, after a second one it was not.

Change: it is taken over from one restore to the next.

Evidence: TestHeldRemovalOutlivesSecondRestore fails without the change.

--- a/core/mirror/restore.go
+++ b/core/mirror/restore.go
@@ -58,6 +58,14 @@
 	dropAt clock.Millis
 }
 
+// heldUntil returns the instant until which a removal of the key is held back, or 0.
+func (d deferredChange) heldUntil() clock.Millis {
+	if d.lapsed {
+		return d.until
+	}
+	return d.dropAt
+}
+
 // recentRemoval is a key that was removed at an instant.
 type recentRemoval struct {
 	key string
@@ -100,16 +108,13 @@
 	// The mirror had all keys, so that an entry of that time has been removed. A new one with a
 	// revision that was issued again takes effect when it is written next.
 	outdated := m.kind(item.key) == Ephemeral && item.revision.number <= m.highestEarlier
-	if (!ok && (removed || outdated)) || (ok && earlier.lapsed) {
+	dropAt := earlier.heldUntil()
+	if (!ok && (removed || outdated)) || (ok && dropAt > 0) {
 		known, ok = NewRemoval(item.key, Revision{}), true
 	}
 	if ok {
 		if period := m.retention(known, item); period > 0 {
-			d := deferredChange{change: item, until: now + period}
-			if earlier.lapsed {
-				d.dropAt = earlier.until
-			}
-			m.postpone(d)
+			m.postpone(deferredChange{change: item, until: now + period, dropAt: dropAt})
 			return nil
 		}
 	}
@@ -127,8 +132,8 @@
 	d := deferredChange{
 		change: removal, until: now + m.retention(m.items[key], removal), lapsed: m.kind(key) == Ephemeral,
 	}
-	if earlier.lapsed {
-		d.until, d.lapsed = earlier.until, true
+	if until := earlier.heldUntil(); until > 0 {
+		d.until, d.lapsed = until, true
 	}
 	m.postpone(d)
 	return nil
--- a/core/mirror/restore_test.go
+++ b/core/mirror/restore_test.go
@@ -416,3 +416,19 @@
 		})
 	}
 }
+
+// Guards against a replica that has left and stays in use: the store is restored twice while its
+// removal is held back.
+func TestHeldRemovalOutlivesSecondRestore(t *testing.T) {
+	r := newRestoredReader(valued("e1", "ready 3", inEra(1, 90)))
+	r.RecordFailure(r.Begin(r.Next(1200), 1200, 1200), 1200, ErrUnavailable)
+	r.HandlePeerReply(1300, []Item{NewRemoval("e1", inEra(1, 101))}, false, inEra(1, 101), 0)
+	restoreAt(t, r, 2000, 85, valued("e1", "ready 3", inEra(2, 80)))
+	assert.Equal(t, 1, r.mirror.Held())
+	call := r.Begin(r.Next(2100), 2100, 2100)
+	r.HandleEvents(call, 2100, nil, inEra(3, 82))
+	call = r.Begin(r.Next(2200), 2200, 2200)
+	r.HandlePage(call, 2200, []Item{valued("e1", "ready 3", inEra(3, 80))}, inEra(3, 83), false)
+	assert.Equal(t, 1, r.mirror.Held())
+	assert.Equal(t, []string{"-e1"}, changedKeys(r.mirror.Expire(1200+lapseGracePeriod)))
+}
