mirror: the time that replicas may be silent follows half of their writes

Callers: requests that reach a replica whose leaving was confirmed just before the store went away, so that no daemon had read it, for up to half a second after the daemons are in touch again.

Cause: the time that replicas may be silent followed three quarters of the writes. A daemon reads the store every 1.1 s, so that a little less than three quarters in the first reply made it one or two replies more.

Change: it follows half of the writes. That three quarters must have written holds for the instant of the decision.

--- a/core/mirror/silence.go
+++ b/core/mirror/silence.go
@@ -7,8 +7,8 @@
 	// counts as silent. After a restore of the store writers write again sooner.
 	minSilence             = 3 * clock.Second
 	minSilenceAfterRestore = 2 * clock.Second
-	// silenceFactor of the time within which most writers have written is the other bound.
-	silenceFactor = 1.8
+	// silenceFactor of the time within which half of the writers have written is the other bound.
+	silenceFactor = 1.6
 	// writtenFraction of the keys are most of them. With fewer the store, or a data centre, is at
 	// fault rather than single writers.
 	writtenFraction = 0.75
@@ -30,7 +30,7 @@
 	least  clock.Millis // without a write
 	total  int
 	silent map[string]bool // not written since then
-	mostAt clock.Millis    // when most keys had been written, or 0
+	halfAt clock.Millis    // when half of the keys had been written, or 0
 	// appliedAt is when changes were last applied.
 	appliedAt clock.Millis
 }
@@ -60,8 +60,8 @@
 		return
 	}
 	delete(c.silent, key)
-	if c.mostAt == 0 && float64(c.total-len(c.silent)) >= writtenFraction*float64(c.total) {
-		c.mostAt = now
+	if c.halfAt == 0 && 2*len(c.silent) <= c.total {
+		c.halfAt = now
 	}
 }
 
@@ -82,7 +82,8 @@
 // due reports whether the keys that are left count as silent. What was written since the last
 // changes were applied is not known.
 func (c *silenceCheck) due() bool {
-	return len(c.silent) > 0 && c.mostAt > 0 && c.appliedAt >= c.since+max(c.least, silenceFactor*(c.mostAt-c.since))
+	most := float64(len(c.silent)) <= (1-writtenFraction)*float64(c.total)
+	return len(c.silent) > 0 && most && c.appliedAt >= c.since+max(c.least, silenceFactor*(c.halfAt-c.since))
 }
 
 // WithdrawSilent takes the keys of silent writers out of effect until they are written, and returns
