mirror: a silent replica is unused also if its known entry is retained

Callers: requests that reach a replica whose leaving no daemon had read before the store went away, until the store removes its entry.

Cause: the copy of an entry is nearly always older than the known one, as replicas write all the time. The known entry then stays in effect for up to 15 s, or until the replica writes, and the check of silent replicas passed over entries of which a change is deferred. So it hardly acted after a restore.

Change: such an entry goes out of effect, too.

Evidence: TestSilentReplicaIsUnusedAfterRestore, "older", fails without the change.

--- a/core/mirror/silence.go
+++ b/core/mirror/silence.go
@@ -94,9 +94,12 @@
 	}
 	var changes []Item
 	for key := range m.silence.silent {
-		item, ok := m.items[key]
-		if _, isDeferred := m.deferred[key]; ok && !isDeferred {
-			m.postpone(deferredChange{change: item, until: now + maxWithdrawal})
+		stored, inEffect := m.items[key]
+		if d, isDeferred := m.deferred[key]; isDeferred {
+			stored = d.change
+		}
+		if inEffect && !stored.removed {
+			m.postpone(deferredChange{change: stored, until: now + maxWithdrawal})
 			delete(m.items, key)
 			changes = append(changes, NewRemoval(key, m.revision))
 		}
--- a/core/mirror/silence_test.go
+++ b/core/mirror/silence_test.go
@@ -102,17 +102,23 @@
 // Guards against a replica whose leaving was lost with the copy that the store was restored from, before
 // any daemon learned of it.
 func TestSilentReplicaIsUnusedAfterRestore(t *testing.T) {
-	items := []Item{valued("e0", "ready 1", inEra(1, 90)), valued("e1", "ready 1", inEra(1, 91)), valued("e2", "ready 1", inEra(1, 92)),
-		valued("e3", "ready 1", inEra(1, 93))}
-	r := newRestoredReader(items...)
-	for i := range items {
-		items[i] = valued(items[i].Key(), "ready 1", inEra(2, items[i].Revision().Number()))
+	for name, listed := range map[string]string{"as known": "ready 5", "older": "ready 3"} {
+		t.Run(name, func(t *testing.T) {
+			var known, copied []Item
+			for i := range 4 {
+				key := fmt.Sprintf("e%d", i)
+				known = append(known, valued(key, "ready 5", inEra(1, uint64(90+i))))
+				copied = append(copied, valued(key, listed, inEra(2, uint64(80+i))))
+			}
+			r := newRestoredReader(known...)
+			restoreAt(t, r, 60_000, 95, copied...)
+			call := r.Begin(r.Next(61_200), 61_200, 61_200)
+			r.HandleEvents(call, 61_200, []Item{valued("e0", "ready 6", inEra(2, 96)), valued("e1", "ready 6", inEra(2, 97)),
+				valued("e2", "ready 6", inEra(2, 98))}, inEra(2, 98))
+			call = r.Begin(r.Next(62_400), 62_400, 62_400)
+			r.HandleEvents(call, 62_400, []Item{valued("e0", "ready 7", inEra(2, 99))}, inEra(2, 99))
+			assert.Equal(t, []string{"-e3"}, changedKeys(r.mirror.WithdrawSilent(62_400)))
+			assert.Empty(t, r.mirror.Expire(60_000+rewritePeriod), "the store lists it still")
+		})
 	}
-	restoreAt(t, r, 60_000, 95, items...)
-	call := r.Begin(r.Next(61_200), 61_200, 61_200)
-	r.HandleEvents(call, 61_200, []Item{valued("e0", "ready 2", inEra(2, 96)), valued("e1", "ready 2", inEra(2, 97)),
-		valued("e2", "ready 2", inEra(2, 98))}, inEra(2, 98))
-	call = r.Begin(r.Next(62_400), 62_400, 62_400)
-	r.HandleEvents(call, 62_400, []Item{valued("e0", "ready 3", inEra(2, 99))}, inEra(2, 99))
-	assert.Equal(t, []string{"-e3"}, changedKeys(r.mirror.WithdrawSilent(62_400)))
 }
