mirror, fleet, release: one wire form of eras; decisions of registrations and lags in core

The wire form of an era stood in entry/gateway and core/release; it is mirror.WireEra now, with the same bytes. When a daemon registers (mirror.Registration) and whether one lags (fleet.SettingsVersion.Lags) are decided in core, their tests moved with them. Nothing else changes. Comments use the terms of the field for restores.

--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -35,6 +35,13 @@
 	return SettingsVersion{revision: revision, digest: digest}
 }
 
+// Lags reports whether a daemon with version s has neither the settings of version own in
+// force, which are those of a revision, nor newer ones. After a restore of the platform two
+// documents may have the same revision.
+func (s SettingsVersion) Lags(own SettingsVersion, revision uint64) bool {
+	return s.revision < revision || (s.revision == own.revision && s != own)
+}
+
 // Revision returns the revision, zero if there is no document.
 func (s SettingsVersion) Revision() uint64 { return s.revision }
 
--- a/core/fleet/restore_test.go
+++ b/core/fleet/restore_test.go
@@ -34,7 +34,7 @@
 	}
 }
 
-// Guards against settings that go back, differ or are lost after the platform has come back
+// Guards against settings that go back, differ or are lost after the platform was restored
 // from older copies, with changes before and after each return.
 func TestSettingsSurviveRestores(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -81,8 +81,8 @@
 	})
 }
 
-// Guards against watchers that leave the platform without the settings in force after it has
-// come back from an older copy, or that all write them at the same time.
+// Guards against watchers that leave the platform without the settings in force after it was
+// restored from an older copy, or that all write them at the same time.
 func TestRestoredPlatformIsWrittenOnce(t *testing.T) {
 	cases := []struct {
 		name   string
--- a/core/mirror/restore_test.go
+++ b/core/mirror/restore_test.go
@@ -66,7 +66,7 @@
 
 // longestTimeToEffect returns the longest time from a commit after the restore of a store to
 // its arrival in the mirror of a daemon. The copy lacks the given number of revisions, and the
-// store is away for 1.5 s.
+// store is unavailable for 1.5 s.
 func longestTimeToEffect(seed, lost uint64, interval clock.Millis, stated bool) clock.Millis {
 	const step, awayAt, restoredAt, end = 5 * clock.Millisecond, 20 * clock.Second, 21500 * clock.Millisecond, clock.Minute
 	random := rand.New(rand.NewPCG(seed, 49))
--- a/core/mirror/simulation_test.go
+++ b/core/mirror/simulation_test.go
@@ -96,7 +96,7 @@
 	return clock.Millis(s.random.Float64()) * 3
 }
 
-// restore lets the store go away for up to 1.5 s and come back from an older copy.
+// restore makes the store unavailable for up to 1.5 s and restores it from an older copy.
 func (s *simulation) restore() {
 	if !s.ended() {
 		s.storeAway = s.now + 1500*clock.Millis(s.random.Float64())
--- a/core/release/restore.go
+++ b/core/release/restore.go
@@ -33,7 +33,7 @@
 
 // over returns the status in effect when the store, which was restored from an older copy, has
 // the stored one, and s was in effect before. The stored one is in effect if it says as much
-// about the same target, or if the order in force has gone back to its target and s was not
+// about the same target, or if the order in force names its target again and s was not
 // completed. After a completion the replicas of that target may have stopped. Ordered is the
 // target of the order, or "".
 func (s Status) over(stored Status, ordered string) Status {
--- a/core/release/restore_test.go
+++ b/core/release/restore_test.go
@@ -361,7 +361,7 @@
 }
 
 // Guards against daemons that all write what the store has lost, and against one that writes
-// before it can have heard of a later status.
+// before it can have learned of a later status.
 func TestOnlyDeciderWritesLostStatus(t *testing.T) {
 	writers := 0
 	for _, self := range []string{"d", "e", "f"} {
--- a/core/release/wire.go
+++ b/core/release/wire.go
@@ -17,35 +17,20 @@
 	maxDaemons = 1 << 16
 )
 
-// wireEra is an era of the store in a record. The fields are those of mirror.Era.
-type wireEra struct {
-	Stated   uint64 `cbor:"1,keyasint,omitempty"`
-	Inferred uint64 `cbor:"2,keyasint,omitempty"`
-}
-
-func newWireEra(era mirror.Era) wireEra {
-	return wireEra{Stated: era.Stated(), Inferred: era.Inferred()}
-}
-
-// revision returns the revision with a number in the era.
-func (w wireEra) revision(number uint64) mirror.Revision {
-	return mirror.NewRevision(mirror.NewEra(w.Stated, w.Inferred), number)
-}
-
 // wireDirective is a directive in a record.
 type wireDirective struct {
 	Directive
-	Number uint64  `cbor:"2,keyasint"` // of the revision
-	Era    wireEra `cbor:"8,keyasint,omitzero"`
+	Number uint64         `cbor:"2,keyasint"` // of the revision
+	Era    mirror.WireEra `cbor:"8,keyasint,omitzero"`
 }
 
 // wireReport is a report in a record. The names of routes are listed once.
 type wireReport struct {
 	Report
-	Number uint64     `cbor:"3,keyasint"` // of the revision
-	Era    wireEra    `cbor:"12,keyasint,omitzero"`
-	Routes []string   `cbor:"10,keyasint,omitempty"`
-	Cells  []wireCell `cbor:"11,keyasint,omitempty"`
+	Number uint64         `cbor:"3,keyasint"` // of the revision
+	Era    mirror.WireEra `cbor:"12,keyasint,omitzero"`
+	Routes []string       `cbor:"10,keyasint,omitempty"`
+	Cells  []wireCell     `cbor:"11,keyasint,omitempty"`
 }
 
 // wireCell holds a cell. Latency begins with the first bucket that isn't empty.
@@ -75,7 +60,7 @@
 }
 
 func encodeReport(report Report) []byte {
-	wire := wireReport{Report: report, Number: report.Revision.Number(), Era: newWireEra(report.Revision.Era())}
+	wire := wireReport{Report: report, Number: report.Revision.Number(), Era: mirror.NewWireEra(report.Revision.Era())}
 	indexes := make(map[string]int)
 	for _, cell := range report.Cells {
 		index, ok := indexes[cell.Route]
@@ -103,7 +88,7 @@
 		return Report{}, errors.Wrapf(ErrMalformed, "%v", err)
 	}
 	report := wire.Report
-	report.Revision = wire.Era.revision(wire.Number)
+	report.Revision = mirror.NewRevision(wire.Era.Era(), wire.Number)
 	if report.Phase > Rejected || !(report.Final == "" || report.Final.Terminal()) || report.OldInFlight < 0 || report.Targets < 0 || len(wire.Cells) > maxCells {
 		return Report{}, errors.Wrap(ErrMalformed, "report out of range")
 	}
@@ -125,7 +110,7 @@
 // EncodeDirective returns the body of a record.
 func EncodeDirective(directive Directive) []byte {
 	body, _ := cbor.Marshal(wireDirective{
-		Directive: directive, Number: directive.Revision.Number(), Era: newWireEra(directive.Revision.Era()),
+		Directive: directive, Number: directive.Revision.Number(), Era: mirror.NewWireEra(directive.Revision.Era()),
 	})
 	return body
 }
@@ -137,7 +122,7 @@
 		return Directive{}, errors.Wrapf(ErrMalformed, "%v", err)
 	}
 	directive := wire.Directive
-	directive.Revision = wire.Era.revision(wire.Number)
+	directive.Revision = mirror.NewRevision(wire.Era.Era(), wire.Number)
 	if directive.Phase > Rejected || !(directive.Share >= 0 && directive.Share <= 1) || !(directive.ElapsedMs >= 0) ||
 		directive.Daemons < 0 || directive.Daemons > maxDaemons || directive.Target == "" {
 		return Directive{}, errors.Wrap(ErrMalformed, "directive out of range")
--- a/core/rollout/restore_test.go
+++ b/core/rollout/restore_test.go
@@ -149,7 +149,7 @@
 	return 0
 }
 
-// Guards against a change that replaces newer ones: the platform has come back from an older
+// Guards against a change that replaces newer ones: the platform was restored from an older
 // copy, and the token after which this daemon still watches was given out again.
 func TestProposalDoesNotUseWatchedTokenAfterRestore(t *testing.T) {
 	r := newRollout("a:1")
--- a/entry/daemon/view.go
+++ b/entry/daemon/view.go
@@ -25,19 +25,12 @@
 		seen, known := v.daemon.control.SettingsVersion(m.ID())
 		reply.Daemons = append(reply.Daemons, operators.RolloutDaemon{
 			ID: string(m.ID()), DataCentre: m.DataCentre(), State: m.State().String(),
-			Revision: seen.Revision(), Lags: !known || lags(seen, own, revision),
+			Revision: seen.Revision(), Lags: !known || seen.Lags(own, revision),
 		})
 	}
 	return reply
 }
 
-// lags reports whether a daemon with the version seen has neither the settings of this
-// daemon in force, at the given revision, nor newer ones. After a restore of the platform
-// two documents may have the same revision.
-func lags(seen, own fleet.SettingsVersion, revision uint64) bool {
-	return seen.Revision() < revision || seen.Revision() == own.Revision() && seen != own
-}
-
 // Fleet returns all members as this daemon sees them.
 func (v *operatorView) Fleet() operators.Fleet {
 	reply := operators.Fleet{Self: v.daemon.configuration.peerAddress, Members: []operators.Member{}}
--- a/entry/gateway/mirror_peer.go
+++ b/entry/gateway/mirror_peer.go
@@ -95,12 +95,12 @@
 	// ProofAgeMs is the age of the sender's proof, or 0 if its configuration has no tenants.
 	ProofAgeMs float64 `cbor:"5,keyasint,omitempty"`
 	// Era is that of AfterRevision. A daemon of an earlier version does not send it.
-	Era *wireEra `cbor:"6,keyasint,omitempty"`
+	Era *mirror.WireEra `cbor:"6,keyasint,omitempty"`
 }
 
 // newMirrorRequest returns a request of a daemon for the changes after a revision.
 func newMirrorRequest(sender string, after mirror.Revision) mirrorRequest {
-	era := newWireEra(after.Era())
+	era := mirror.NewWireEra(after.Era())
 	return mirrorRequest{Sender: sender, AfterRevision: after.Number(), Era: &era}
 }
 
@@ -109,26 +109,13 @@
 func (r mirrorRequest) after(present mirror.Era) mirror.Revision {
 	switch {
 	case r.Era != nil:
-		return mirror.NewRevision(r.Era.era(), r.AfterRevision)
+		return mirror.NewRevision(r.Era.Era(), r.AfterRevision)
 	case r.AfterRevision == 0:
 		return mirror.Revision{}
 	}
 	return mirror.NewRevision(present, r.AfterRevision)
 }
 
-// wireEra is an era of the store as it is sent between daemons. The fields are those of
-// mirror.Era.
-type wireEra struct {
-	Stated   uint64 `cbor:"1,keyasint,omitempty"`
-	Inferred uint64 `cbor:"2,keyasint,omitempty"`
-}
-
-func newWireEra(era mirror.Era) wireEra {
-	return wireEra{Stated: era.Stated(), Inferred: era.Inferred()}
-}
-
-func (w wireEra) era() mirror.Era { return mirror.NewEra(w.Stated, w.Inferred) }
-
 // mirrorReply is the changes of a daemon's mirror after a revision. AgeMs is the time
 // since the mirror was last up to date with the store.
 type mirrorReply struct {
@@ -143,7 +130,7 @@
 	// Settled means that removals up to Revision need not be held back; see mirror.Reader.
 	Settled bool `cbor:"7,keyasint,omitempty"`
 	// Era is that of Revision and of the items.
-	Era wireEra `cbor:"8,keyasint,omitzero"`
+	Era mirror.WireEra `cbor:"8,keyasint,omitzero"`
 	// Through is a later revision that the changes may already be from; see
 	// mirror.Reader.ListedThrough.
 	Through uint64 `cbor:"9,keyasint,omitempty"`
@@ -151,7 +138,7 @@
 
 // through returns the revision of Through, which is in the same era.
 func (r mirrorReply) through() mirror.Revision {
-	return mirror.NewRevision(r.Era.era(), r.Through)
+	return mirror.NewRevision(r.Era.Era(), r.Through)
 }
 
 // revision returns the revision of the mirror, zero if there is none.
@@ -159,7 +146,7 @@
 	if r.Revision == 0 {
 		return mirror.Revision{}
 	}
-	return mirror.NewRevision(r.Era.era(), r.Revision)
+	return mirror.NewRevision(r.Era.Era(), r.Revision)
 }
 
 // wireProof is a proof of freshness as it is sent between daemons. The fields are those
@@ -172,7 +159,7 @@
 func (r mirrorReply) items() []mirror.Item {
 	items := make([]mirror.Item, len(r.Items))
 	for i, item := range r.Items {
-		revision := mirror.NewRevision(r.Era.era(), item.Revision)
+		revision := mirror.NewRevision(r.Era.Era(), item.Revision)
 		if item.Removed {
 			items[i] = mirror.NewRemoval(item.Key, revision)
 		} else {
--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -38,7 +38,7 @@
 	sources      atomic.Pointer[[]string]   // peers that may be followed
 	recordedEra  atomic.Pointer[mirror.Era] // latest one in records of peers
 	calls        sync.WaitGroup             // calls of the store that are open
-	registration registration               // used only by the goroutine of run
+	registration *mirror.Registration       // used only by the goroutine of run
 
 	mu            sync.Mutex
 	mirror        mirror.Mirror
@@ -59,7 +59,7 @@
 	}
 	s.mirror.SetSchema(g.dependencies.Schema)
 	s.reader = mirror.NewReader(g.startedAt, &s.mirror, deriveGenerator(g.dependencies.Random))
-	s.registration.random = deriveGenerator(g.dependencies.Random)
+	s.registration = mirror.NewRegistration(deriveGenerator(g.dependencies.Random))
 	s.reader.SetMaxProofAge(g.config.MaxProofAge)
 	return s
 }
@@ -455,31 +455,6 @@
 	return int64(s.mirror.Held())
 }
 
-// registration is the state of this daemon's registration in the store.
-type registration struct {
-	random *rand.Rand
-	done   bool
-	era    mirror.Era   // in which it was done
-	dueAt  clock.Millis // again after a restore of the store
-}
-
-// reregistrationSpread is the time over which the daemons register again after a restore.
-const reregistrationSpread = 3 * clock.Second
-
-// due reports whether to register now. Stored says whether the store has the registration in
-// an era.
-func (r *registration) due(now clock.Millis, era mirror.Era, stored bool) bool {
-	if r.done && r.era != era {
-		r.dueAt = now + reregistrationSpread*clock.Millis(r.random.Float64())
-		r.done = false
-	}
-	r.era = era
-	if stored {
-		r.done = true
-	}
-	return !r.done && now >= r.dueAt
-}
-
 // register writes this daemon's address to the store, unless it is listed there, so
 // that daemons find each other without seeds. It succeeds once in each era, and is tried
 // again after each read until then.
@@ -490,15 +465,16 @@
 	}
 	s.mu.Lock()
 	due := s.mirror.Complete() &&
-		s.registration.due(s.now(), s.mirror.Revision().Era(), s.mirror.Stored(registry+s.gateway.config.PeerAddress))
+		s.registration.Due(s.now(), s.mirror.Revision().Era(), s.mirror.Stored(registry+s.gateway.config.PeerAddress))
 	s.mu.Unlock()
 	if !due {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	err := s.store.Put(ctx, registry+s.gateway.config.PeerAddress, []byte(s.gateway.config.DataCentre))
-	s.registration.done = err == nil
+	if s.store.Put(ctx, registry+s.gateway.config.PeerAddress, []byte(s.gateway.config.DataCentre)) == nil {
+		s.registration.RecordWrite()
+	}
 }
 
 // pollPeers requests changes from random peers while the store is unreachable for
@@ -622,7 +598,7 @@
 func (s *mirrorSyncer) recordObservations(request mirrorRequest) {
 	s.mu.Lock()
 	if request.Era != nil {
-		s.reader.ObserveEra(s.now(), request.Era.era())
+		s.reader.ObserveEra(s.now(), request.Era.Era())
 	}
 	s.observations.Record(s.now(), request.Sender, decodeObservations(request.Observations))
 	confirmed := s.observationsFor(s.gateway.config.PeerAddress)
@@ -651,7 +627,7 @@
 	}
 	items, complete, revision := s.mirror.ChangesSince(request.after(s.mirror.Revision().Era()))
 	reply = mirrorReply{
-		Complete: complete, Revision: revision.Number(), Era: newWireEra(revision.Era()), AgeMs: float64(s.reader.Age(s.now())),
+		Complete: complete, Revision: revision.Number(), Era: mirror.NewWireEra(revision.Era()), AgeMs: float64(s.reader.Age(s.now())),
 		Observations: encodeObservations(s.observationsFor(request.Sender)), Settled: s.reader.Settled(s.now()),
 		Through: s.reader.ListedThrough().Number(),
 	}
--- a/entry/gateway/mirror_syncer_test.go
+++ b/entry/gateway/mirror_syncer_test.go
@@ -265,28 +265,6 @@
 	assert.Positive(t, calls["watch.late"])
 }
 
-// Guards against daemons that nobody finds after the store has lost their registrations, and
-// against all of them registering at a time.
-func TestRegistrationIsRepeatedAfterRestore(t *testing.T) {
-	first, second := mirror.NewEra(1, 0), mirror.NewEra(2, 0)
-	var latest clock.Millis
-	for seed := range uint64(20) {
-		r := registration{random: rand.New(rand.NewPCG(seed, 1))}
-		require.True(t, r.due(0, first, false))
-		require.False(t, r.due(1000, first, true))
-		require.False(t, r.due(2000, first, false), "once in an era")
-		at := clock.Millis(10_000)
-		for ; !r.due(at, second, false); at += 10 {
-			require.Less(t, at, 10_000+reregistrationSpread)
-		}
-		latest = max(latest, at)
-		r.done = true
-		require.False(t, r.due(at+reregistrationSpread, second, false))
-		require.False(t, r.due(at+reregistrationSpread, mirror.NewEra(3, 0), true), "the copy has it")
-	}
-	assert.Greater(t, latest, 10_000+reregistrationSpread/2)
-}
-
 // Guards against complete copies for each request of a daemon that does not know eras, during an
 // upgrade of the fleet.
 func TestFollowerWithoutEraGetsChanges(t *testing.T) {
