mirror: the bounds of silence follow from what the store promises

Callers: none; read through once more.

Change: after a restore a silence of 2 s counts, since live replicas write again within about two seconds of the return. After a start it is 3 s, or twice the time in which half of the replicas have written, which is their interval if they write at all instants alike.

--- a/core/mirror/restore.go
+++ b/core/mirror/restore.go
@@ -85,7 +85,7 @@
 	m.revision, m.compactedRevision, m.restoredAt = revision, revision, now
 	m.tombstones = m.tombstones[:0]
 	m.deferred = nil
-	m.silence.start(now, minSilenceAfterRestore, m, items)
+	m.silence.start(now, minSilenceAfterRestore, 0, m, items)
 	removed := m.recentlyRemoved(now)
 	listed := make(map[string]bool, len(items))
 	var changes []Item
--- a/core/mirror/silence.go
+++ b/core/mirror/silence.go
@@ -4,11 +4,13 @@
 
 const (
 	// minSilence is the least time without a write of an ephemeral key after which its writer
-	// counts as silent. After a restore of the store writers write again sooner.
+	// counts as silent. After a restore of the store live writers write again within about
+	// two seconds of its return, whatever their interval.
 	minSilence             = 3 * clock.Second
 	minSilenceAfterRestore = 2 * clock.Second
-	// silenceFactor of the time within which half of the writers have written is the other bound.
-	silenceFactor = 1.6
+	// silenceFactor of the time within which half of the writers have written bounds their
+	// interval, if they write at all instants alike.
+	silenceFactor = 2
 	// writtenFraction of the keys are most of them. With fewer the store, or a data centre, is at
 	// fault rather than single writers.
 	writtenFraction = 0.75
@@ -28,6 +30,7 @@
 type silenceCheck struct {
 	since  clock.Millis
 	least  clock.Millis // without a write
+	factor clock.Millis // of the time that half of the writers took, or 0
 	total  int
 	silent map[string]bool // not written since then
 	halfAt clock.Millis    // when half of the keys had been written, or 0
@@ -35,9 +38,10 @@
 	appliedAt clock.Millis
 }
 
-// start begins the check with the keys of a listing and the least time without a write.
-func (c *silenceCheck) start(now, least clock.Millis, m *Mirror, items []Item) {
-	*c = silenceCheck{since: now, least: least, appliedAt: now, silent: make(map[string]bool)}
+// start begins the check with the keys of a listing, the least time without a write, and the
+// factor of the time that half of the writers take.
+func (c *silenceCheck) start(now, least, factor clock.Millis, m *Mirror, items []Item) {
+	*c = silenceCheck{since: now, least: least, factor: factor, appliedAt: now, silent: make(map[string]bool)}
 	for _, item := range items {
 		if m.kind(item.key) == Ephemeral {
 			c.silent[item.key] = true
@@ -68,7 +72,7 @@
 // recordListing begins the check with the first listing, and records what a later one shows.
 func (m *Mirror) recordListing(now clock.Millis, items []Item) {
 	if !m.complete {
-		m.silence.start(now, minSilence, m, items)
+		m.silence.start(now, minSilence, silenceFactor, m, items)
 		return
 	}
 	m.silence.recordReply(now)
@@ -83,7 +87,7 @@
 // changes were applied is not known.
 func (c *silenceCheck) due() bool {
 	most := float64(len(c.silent)) <= (1-writtenFraction)*float64(c.total)
-	return len(c.silent) > 0 && most && c.appliedAt >= c.since+max(c.least, silenceFactor*(c.halfAt-c.since))
+	return len(c.silent) > 0 && most && c.appliedAt >= c.since+max(c.least, c.factor*(c.halfAt-c.since))
 }
 
 // WithdrawSilent takes the keys of silent writers out of effect until they are written, and returns
