mirror, gateway: a write of the registration does not delay reads of the store

Cause: the loop that reads the store wrote the daemon's registration between two reads and waited for it, up to its timeout of 1 s. A change that is confirmed just after the first watch was answered waits for the rest of its reply, the write, and the next watch.

Change: the write runs beside the reads. Registration records that one is in progress, so that writes do not overlap, and in which era it began, so that one that a restore has lost is repeated.

Evidence: TestRegistrationDoesNotDelayReads fails on ("a read waits for the registration").

--- a/core/mirror/registration.go
+++ b/core/mirror/registration.go
@@ -13,19 +13,21 @@
 // Registration decides when a daemon writes its registration to the store: once, and once
 // more in each era whose store lacks it. It is not safe for concurrent use.
 type Registration struct {
-	random *rand.Rand
-	done   bool
-	era    Era          // in which it was done
-	dueAt  clock.Millis // again after a restore of the store
+	random  *rand.Rand
+	done    bool
+	writing bool
+	era     Era          // in which it was done
+	dueAt   clock.Millis // again after a restore of the store
 }
 
 // NewRegistration returns the state of a daemon that has not registered. It uses random for
 // the delay after a restore.
 func NewRegistration(random *rand.Rand) *Registration { return &Registration{random: random} }
 
-// Due reports whether to write the registration now. Stored says whether the store has it in
-// an era.
-func (r *Registration) Due(now clock.Millis, era Era, stored bool) bool {
+// Begin reports whether to write the registration now. If so, it records that a write is in
+// progress, which RecordWrite ends. Stored says whether the store has the registration in an
+// era.
+func (r *Registration) Begin(now clock.Millis, era Era, stored bool) bool {
 	if r.done && r.era != era {
 		r.dueAt = now + reregistrationSpread*clock.Millis(r.random.Float64())
 		r.done = false
@@ -34,8 +36,18 @@
 	if stored {
 		r.done = true
 	}
-	return !r.done && now >= r.dueAt
+	if r.done || r.writing || now < r.dueAt {
+		return false
+	}
+	r.writing = true
+	return true
 }
 
-// RecordWrite records that the registration was written.
-func (r *Registration) RecordWrite() { r.done = true }
+// RecordWrite ends the write that began in an era. A restore during the write may have lost
+// it.
+func (r *Registration) RecordWrite(era Era, written bool) {
+	r.writing = false
+	if written && era == r.era {
+		r.done = true
+	}
+}
--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -26,6 +26,9 @@
 // from a peer, and applies the held removals that are due.
 const peerPollInterval = 250 * time.Millisecond
 
+// registrationTimeout is that of a write of this daemon's registration.
+const registrationTimeout = time.Second
+
 // mirrorSyncer keeps the mirror in sync with the store, directly or through a peer,
 // and applies its changes to the engine and the tracker. It is safe for concurrent
 // use.
@@ -35,14 +38,14 @@
 	store   Store
 	random  *rand.Rand
 
-	sources      atomic.Pointer[[]string]   // peers that may be followed
-	recordedEra  atomic.Pointer[mirror.Era] // latest one in records of peers
-	calls        sync.WaitGroup             // calls of the store that are open
-	registration *mirror.Registration       // used only by the goroutine of run
+	sources     atomic.Pointer[[]string]   // peers that may be followed
+	recordedEra atomic.Pointer[mirror.Era] // latest one in records of peers
+	calls       sync.WaitGroup             // calls of the store that are open
 
 	mu            sync.Mutex
 	mirror        mirror.Mirror
 	reader        *mirror.Reader
+	registration  *mirror.Registration
 	configured    bool          // whether Gateway.configured is closed
 	changed       chan struct{} // closed when the mirror changes
 	observations  replica.ObservationMerger
@@ -457,24 +460,28 @@
 
 // register writes this daemon's address to the store, unless it is listed there, so
 // that daemons find each other without seeds. It succeeds once in each era, and is tried
-// again after each read until then.
+// again after each read until then. It does not wait for the store, whose delay would add
+// to that of changes.
 func (s *mirrorSyncer) register(ctx context.Context) {
 	registry := s.gateway.config.RegistryPrefix
 	if registry == "" {
 		return
 	}
+	key := registry + s.gateway.config.PeerAddress
 	s.mu.Lock()
-	due := s.mirror.Complete() &&
-		s.registration.Due(s.now(), s.mirror.Revision().Era(), s.mirror.Stored(registry+s.gateway.config.PeerAddress))
-	s.mu.Unlock()
-	if !due {
+	defer s.mu.Unlock()
+	era := s.mirror.Revision().Era()
+	if !s.mirror.Complete() || !s.registration.Begin(s.now(), era, s.mirror.Stored(key)) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	if s.store.Put(ctx, registry+s.gateway.config.PeerAddress, []byte(s.gateway.config.DataCentre)) == nil {
-		s.registration.RecordWrite()
-	}
+	s.calls.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, registrationTimeout)
+		defer cancel()
+		err := s.store.Put(ctx, key, []byte(s.gateway.config.DataCentre))
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.registration.RecordWrite(era, err == nil)
+	})
 }
 
 // pollPeers requests changes from random peers while the store is unreachable for
--- a/entry/gateway/mirror_syncer_test.go
+++ b/entry/gateway/mirror_syncer_test.go
@@ -265,6 +265,34 @@
 	assert.Positive(t, calls["watch.late"])
 }
 
+// hungPut is a store whose Put returns once released is closed. It closes called first.
+type hungPut struct {
+	Store
+	called, released chan struct{}
+}
+
+func (h hungPut) Put(context.Context, string, []byte) error {
+	close(h.called)
+	<-h.released
+	return nil
+}
+
+// Guards against changes that are late because reads of a slow store wait for the write of the
+// registration, and against writes that overlap.
+func TestRegistrationDoesNotDelayReads(t *testing.T) {
+	s := newTestGateway(t).mirrorSyncer
+	s.applyChanges(s.reader.HandlePage(mirror.Call{}, s.now(), []mirror.Item{mirror.NewItem("a", nil, revisionAt(3))}, revisionAt(3), false))
+	store := hungPut{called: make(chan struct{}), released: make(chan struct{})}
+	s.store = store
+	requireEndsSoon(t, "a read waits for the registration", func() { s.register(t.Context()) })
+	<-store.called
+	s.register(t.Context())
+	close(store.released)
+	s.calls.Wait()
+	s.register(t.Context())
+	s.calls.Wait()
+}
+
 // Guards against complete copies for each request of a daemon that does not know eras, during an
 // upgrade of the fleet.
 func TestFollowerWithoutEraGetsChanges(t *testing.T) {
