mirror: a listing makes a second call for a page before the timeout

Cause: all daemons start 10 ms before the return. The store never answers the first call of a listing, which fails after 900 ms; with the delay of the retry the mirror is filled 1.1 s after the start. Entries that are not written again are taken out of effect with the first reply 3 s after that, which comes after 3.3 s.

Change: a call for a page that has no reply after 300 ms is made once more, and again after twice the delay, while the first one stays open. The first reply counts; of a store that is slow more calls are made, at most two until the timeout.

TestLostPageDelaysListingBriefly fails without the change ("should have 2 item(s), but has 1").

--- a/core/mirror/late_test.go
+++ b/core/mirror/late_test.go
@@ -146,6 +146,24 @@
 	}
 }
 
+// Guards against a daemon that starts late because the store, which has just returned, never
+// answers its first call, and against many calls of a store that is slow.
+func TestLostPageDelaysListingBriefly(t *testing.T) {
+	var m Mirror
+	r := NewReader(1, &m, rand.New(rand.NewPCG(1, 1)))
+	store := delayedStore{reader: r, delay: func() clock.Millis { return maxCallDuration }}
+	now := clock.Millis(1)
+	for ; now < listTimeout; now += 5 {
+		store.step(now, 1)
+	}
+	require.Len(t, store.calls, 2)
+	second := store.calls[1]
+	require.Less(t, second.sentAt, listTimeout/2)
+	r.HandlePage(second.call, second.sentAt+5, nil, revisionAt(1), false)
+	assert.True(t, m.Complete())
+	assert.False(t, r.RecordFailure(store.calls[0].call, now, ErrNoReply), "a later call was answered")
+}
+
 // Guards against a mirror that looks newer than it is after a delayed reply, and against one
 // that looks current because the store has no changes for it.
 func TestDelayedRepliesAreDatedBack(t *testing.T) {
--- a/core/mirror/reader.go
+++ b/core/mirror/reader.go
@@ -48,6 +48,11 @@
 	// replyDelay is how long a reply may be on its way before it is dated back, and before
 	// the next watch starts although the reply is missing.
 	replyDelay = 150 * clock.Millisecond
+	// pageOverdue is how long a call for a page delays the next one for the same page. It
+	// doubles with each.
+	pageOverdue = 2 * replyDelay
+	// maxPageDoublings ends the further calls for a page: the delay exceeds listTimeout.
+	maxPageDoublings = 2
 	// maxCallDuration is how long a call of the store stays open after its start. Its reply
 	// counts even if the call has failed by then, so that a slow store can be read.
 	maxCallDuration = 5 * clock.Second
@@ -142,6 +147,7 @@
 	listingRevision Revision     // of its first page
 	listingAsOf     clock.Millis // instant that its first page is dated at
 	listingNumber   int          // tells the pages of listings apart
+	pageCalls       int          // for the next page
 	listedThrough   Revision     // of the last page of the latest listing in the mirror
 	needsListing    bool
 	observedEra     Era                     // latest one that the store or another daemon has shown
@@ -201,7 +207,7 @@
 	if r.needsListing {
 		return Call{
 			kind: List, at: max(now, r.retryAt), afterKey: r.afterKey, listing: r.listingNumber,
-			timeout: listTimeout, overdue: maxCallDuration,
+			timeout: listTimeout, overdue: pageOverdue * clock.Millis(uint(1)<<min(r.pageCalls, maxPageDoublings)),
 		}
 	}
 	at := max(r.callStartedAt+watchInterval, r.retryAt)
@@ -216,6 +222,9 @@
 // the clock that counts suspension.
 func (r *Reader) Begin(call Call, now, sentAt clock.Millis) Call {
 	r.callStartedAt = now
+	if call.kind == List {
+		r.pageCalls++
+	}
 	call.startedAt, call.sentAt = now, sentAt
 	call.known = r.mirror.Revision()
 	if call.known.Before(r.listedThrough) {
@@ -301,7 +310,7 @@
 	}
 	r.listing = append(r.listing, items...)
 	if more && len(items) > 0 {
-		r.afterKey = items[len(items)-1].key
+		r.afterKey, r.pageCalls = items[len(items)-1].key, 0
 		return nil
 	}
 	if r.endsWithinListing(r.listingRevision) {
@@ -351,7 +360,7 @@
 // resetListing ends the listing in progress. Later pages of it are ignored.
 func (r *Reader) resetListing() {
 	r.listingNumber++
-	r.afterKey, r.listing = "", nil
+	r.afterKey, r.listing, r.pageCalls = "", nil, 0
 }
 
 // HandleEvents applies the reply of a watch and returns the changes. A reply of an earlier
