mirror: any reply to the awaited page of a listing ends the wait

The second call also delayed the first watch, its failure counted although it was not needed, a rejection of it began the listing anew, and after a timeout no second call was made any more.

Change: a call that the listing no longer awaits ends the wait, and its failure does not count. A listing begins anew only if no call for its page is open. Each first call for a page may be followed by a second one, and there are never more than two at a time. A registration that is lost during its write is repeated within the spread of the others.

Evidence: TestSecondCallsDoNotDelayListing, TestRejectedSecondCallDoesNotEndListing, TestLostPageIsRequestedAgain and TestLostPageDelaysListingBriefly with outages that begin before the start; the tests' own models of the loop ask Awaits, as the loop does. TestRegistrationDoesNotDelayReads counts the writes.

--- a/core/mirror/late_test.go
+++ b/core/mirror/late_test.go
@@ -34,12 +34,24 @@
 type delayedStore struct {
 	reader *Reader
 	delay  func() clock.Millis
+	pages  int // of a listing, with an item each; 0 for one without items
 	calls  []*delayedCall
 }
 
+// page returns the page of a listing after a key, and whether there are further ones.
+func (s *delayedStore) page(afterKey string) (items []Item, more bool) {
+	if s.pages == 0 {
+		return nil, false
+	}
+	key := afterKey + "a"
+	return []Item{NewItem(key, nil, revisionAt(1))}, len(key) < s.pages
+}
+
 // step handles what is due at an instant at which the store has the given revision.
 func (s *delayedStore) step(now clock.Millis, newest uint64) {
-	busy := slices.ContainsFunc(s.calls, func(c *delayedCall) bool { return !c.failed && now < c.sentAt+c.call.Overdue() })
+	busy := slices.ContainsFunc(s.calls, func(c *delayedCall) bool {
+		return !c.failed && now < c.sentAt+c.call.Overdue() && s.reader.Awaits(c.call)
+	})
 	if next := s.reader.Next(now); !busy && next.At() <= now {
 		s.calls = append(s.calls, &delayedCall{call: s.reader.Begin(next, now, now), sentAt: now})
 	}
@@ -50,7 +62,8 @@
 		}
 		if c.reply != nil && now >= c.reply.at {
 			if c.call.Kind() == List {
-				s.reader.HandlePage(c.call, now, nil, revisionAt(c.reply.revision), false)
+				items, more := s.page(c.call.AfterKey())
+				s.reader.HandlePage(c.call, now, items, revisionAt(c.reply.revision), more)
 			} else {
 				s.reader.HandleEvents(c.call, now, nil, revisionAt(c.reply.revision))
 			}
@@ -147,21 +160,68 @@
 }
 
 // Guards against a daemon that starts late because the store, which has just returned, never
-// answers its first call, and against many calls of a store that is slow.
+// answers the calls from before.
 func TestLostPageDelaysListingBriefly(t *testing.T) {
+	for lostUntil := clock.Millis(1); lostUntil < 10_000; lostUntil += 50 {
+		var m Mirror
+		r := NewReader(1, &m, rand.New(rand.NewPCG(1, 1)))
+		var now clock.Millis
+		store := delayedStore{reader: r, pages: 2, delay: func() clock.Millis {
+			if now <= lostUntil {
+				return 2 * maxCallDuration
+			}
+			return 5
+		}}
+		for now = 1; !m.Complete(); now += 5 {
+			require.Less(t, now, lostUntil+listTimeout+maxRetryDelay*(1+retryJitter)+50)
+			store.step(now, 1)
+		}
+		if lostUntil < listTimeout/3 {
+			require.Less(t, now, listTimeout/2)
+		}
+	}
+}
+
+// Guards against listings of a slow store that take longer than the delays of its replies, or
+// make more than two calls for a page, and against a first watch that waits for the second one.
+func TestSecondCallsDoNotDelayListing(t *testing.T) {
+	const pages = 4
+	for delay := clock.Millis(100); delay < listTimeout; delay += 50 {
+		var m Mirror
+		r := NewReader(1, &m, rand.New(rand.NewPCG(1, 1)))
+		store := delayedStore{reader: r, pages: pages, delay: func() clock.Millis { return delay }}
+		now, begun := clock.Millis(1), make(map[*delayedCall]bool)
+		for ; !m.Complete(); now += 5 {
+			require.Less(t, now, pages*(delay+15))
+			store.step(now, 1)
+			for _, call := range store.calls {
+				begun[call] = true
+			}
+		}
+		require.LessOrEqual(t, len(begun), 2*pages)
+		require.LessOrEqual(t, r.Next(now).At(), max(now, now-delay+watchInterval))
+		for ; now < pages*listTimeout; now += 5 {
+			require.True(t, r.StoreReachable(), "the failure of a call that is not needed counts")
+			store.step(now, 1)
+		}
+	}
+}
+
+// Guards against a listing that begins anew because the store rejects the second call for a page
+// while the first one is open.
+func TestRejectedSecondCallDoesNotEndListing(t *testing.T) {
 	var m Mirror
 	r := NewReader(1, &m, rand.New(rand.NewPCG(1, 1)))
-	store := delayedStore{reader: r, delay: func() clock.Millis { return maxCallDuration }}
-	now := clock.Millis(1)
-	for ; now < listTimeout; now += 5 {
-		store.step(now, 1)
-	}
-	require.Len(t, store.calls, 2)
-	second := store.calls[1]
-	require.Less(t, second.sentAt, listTimeout/2)
-	r.HandlePage(second.call, second.sentAt+5, nil, revisionAt(1), false)
-	assert.True(t, m.Complete())
-	assert.False(t, r.RecordFailure(store.calls[0].call, now, ErrNoReply), "a later call was answered")
+	first := r.Begin(r.Next(1), 1, 1)
+	r.HandlePage(first, 5, []Item{NewItem("a", nil, revisionAt(1))}, revisionAt(1), true)
+	second := r.Begin(r.Next(5), 5, 5)
+	repeated := r.Begin(r.Next(5+second.Overdue()), 5+second.Overdue(), 5+second.Overdue())
+	require.Equal(t, "a", repeated.AfterKey())
+	r.RecordFailure(repeated, 310, ErrUnavailable)
+	r.HandlePage(second, 400, []Item{NewItem("b", nil, revisionAt(1))}, revisionAt(1), false)
+	require.True(t, m.Complete())
+	_, listed := m.Get("a")
+	assert.True(t, listed)
 }
 
 // Guards against a mirror that looks newer than it is after a delayed reply, and against one
--- a/core/mirror/reader.go
+++ b/core/mirror/reader.go
@@ -48,11 +48,8 @@
 	// replyDelay is how long a reply may be on its way before it is dated back, and before
 	// the next watch starts although the reply is missing.
 	replyDelay = 150 * clock.Millisecond
-	// pageOverdue is how long a call for a page delays the next one for the same page. It
-	// doubles with each.
+	// pageOverdue is how long a call for a page may have no reply before a second one is made.
 	pageOverdue = 2 * replyDelay
-	// maxPageDoublings ends the further calls for a page: the delay exceeds listTimeout.
-	maxPageDoublings = 2
 	// maxCallDuration is how long a call of the store stays open after its start. Its reply
 	// counts even if the call has failed by then, so that a slow store can be read.
 	maxCallDuration = 5 * clock.Second
@@ -94,7 +91,8 @@
 	timeout       clock.Millis
 	overdue       clock.Millis
 	peer          string
-	listing       int // Reader.listingNumber when a List was planned
+	listing       int  // Reader.listingNumber when a List was planned
+	repeated      bool // whether another List for the same page was open
 	// Begin sets the following.
 	startedAt clock.Millis
 	sentAt    clock.Millis // the same on the clock that counts suspension
@@ -147,7 +145,7 @@
 	listingRevision Revision     // of its first page
 	listingAsOf     clock.Millis // instant that its first page is dated at
 	listingNumber   int          // tells the pages of listings apart
-	pageCalls       int          // for the next page
+	openPageCalls   int          // for the awaited page, without a reply or failure
 	listedThrough   Revision     // of the last page of the latest listing in the mirror
 	needsListing    bool
 	observedEra     Era                     // latest one that the store or another daemon has shown
@@ -205,10 +203,14 @@
 		}
 	}
 	if r.needsListing {
-		return Call{
+		call := Call{
 			kind: List, at: max(now, r.retryAt), afterKey: r.afterKey, listing: r.listingNumber,
-			timeout: listTimeout, overdue: pageOverdue * clock.Millis(uint(1)<<min(r.pageCalls, maxPageDoublings)),
+			timeout: listTimeout, overdue: maxCallDuration,
+		}
+		if call.repeated = r.openPageCalls > 0; !call.repeated {
+			call.overdue = pageOverdue
 		}
+		return call
 	}
 	at := max(r.callStartedAt+watchInterval, r.retryAt)
 	return Call{
@@ -221,9 +223,11 @@
 // the call for the methods that handle its reply or failure. SentAt is the same instant on
 // the clock that counts suspension.
 func (r *Reader) Begin(call Call, now, sentAt clock.Millis) Call {
-	r.callStartedAt = now
+	if !call.repeated {
+		r.callStartedAt = now
+	}
 	if call.kind == List {
-		r.pageCalls++
+		r.openPageCalls++
 	}
 	call.startedAt, call.sentAt = now, sentAt
 	call.known = r.mirror.Revision()
@@ -269,6 +273,12 @@
 	}
 }
 
+// Awaits reports whether a reply to the call is needed. A page is not if another call has
+// returned it, or if its listing has ended.
+func (r *Reader) Awaits(call Call) bool {
+	return call.kind != List || (r.needsListing && call.listing == r.listingNumber && call.afterKey == r.afterKey)
+}
+
 // recordEra records that an era has begun. A reply to a later call belongs to it at least.
 func (r *Reader) recordEra(era Era) {
 	if era.Compare(r.observedEra) > 0 {
@@ -295,8 +305,11 @@
 	r.recordEra(revision.era)
 	switch {
 	case revision.era.Compare(r.mirror.Revision().era) < 0:
+		if r.Awaits(call) {
+			r.openPageCalls = 0
+		}
 		return nil
-	case !r.needsListing || call.listing != r.listingNumber || call.afterKey != r.afterKey:
+	case !r.Awaits(call):
 		if revision.era.Compare(r.mirror.Revision().era) > 0 && r.mirror.Complete() {
 			r.requireListing()
 		}
@@ -310,7 +323,7 @@
 	}
 	r.listing = append(r.listing, items...)
 	if more && len(items) > 0 {
-		r.afterKey, r.pageCalls = items[len(items)-1].key, 0
+		r.afterKey, r.openPageCalls = items[len(items)-1].key, 0
 		return nil
 	}
 	if r.endsWithinListing(r.listingRevision) {
@@ -360,7 +373,7 @@
 // resetListing ends the listing in progress. Later pages of it are ignored.
 func (r *Reader) resetListing() {
 	r.listingNumber++
-	r.afterKey, r.listing, r.pageCalls = "", nil, 0
+	r.afterKey, r.listing, r.openPageCalls = "", nil, 0
 }
 
 // HandleEvents applies the reply of a watch and returns the changes. A reply of an earlier
@@ -425,6 +438,9 @@
 // which calls are delayed exponentially, unless the store has answered a later call. It
 // reports whether this is the first failure since the store last answered.
 func (r *Reader) RecordFailure(call Call, now clock.Millis, err error) bool {
+	if call.kind == List && r.Awaits(call) {
+		r.openPageCalls = max(0, r.openPageCalls-1)
+	}
 	if errors.Is(err, ErrCompacted) {
 		// If the mirror has changed since then, a watch after its revision may succeed.
 		if call.kind == List || !call.afterRevision.Before(r.mirror.Revision()) {
@@ -432,10 +448,10 @@
 		}
 		return false
 	}
-	if call.startedAt < r.answeredCall {
+	if call.startedAt < r.answeredCall || (call.repeated && !r.Awaits(call)) {
 		return false
 	}
-	if !errors.Is(err, ErrNoReply) {
+	if r.openPageCalls == 0 && !errors.Is(err, ErrNoReply) {
 		r.resetListing()
 	}
 	if r.peerAsOf == 0 || now > r.peerAsOf+maxSourceAge {
--- a/core/mirror/registration.go
+++ b/core/mirror/registration.go
@@ -28,7 +28,7 @@
 // progress, which RecordWrite ends. Stored says whether the store has the registration in an
 // era.
 func (r *Registration) Begin(now clock.Millis, era Era, stored bool) bool {
-	if r.done && r.era != era {
+	if (r.done || r.writing) && r.era != era {
 		r.dueAt = now + reregistrationSpread*clock.Millis(r.random.Float64())
 		r.done = false
 	}
@@ -43,8 +43,8 @@
 	return true
 }
 
-// RecordWrite ends the write that began in an era. A restore during the write may have lost
-// it.
+// RecordWrite ends the write that began in an era. If the store was restored during the write,
+// it may be lost and is repeated.
 func (r *Registration) RecordWrite(era Era, written bool) {
 	r.writing = false
 	if written && era == r.era {
--- a/core/mirror/registration_test.go
+++ b/core/mirror/registration_test.go
@@ -37,12 +37,20 @@
 // during its write has lost.
 func TestRegistrationLostDuringWriteIsRepeated(t *testing.T) {
 	first, second := NewEra(1, 0), NewEra(2, 0)
-	r := NewRegistration(rand.New(rand.NewPCG(1, 1)))
-	require.True(t, r.Begin(0, first, false))
-	require.False(t, r.Begin(100, first, false), "a write is in progress")
-	require.False(t, r.Begin(200, second, false), "a write is in progress")
-	r.RecordWrite(first, true)
-	require.True(t, r.Begin(200+reregistrationSpread, second, false))
-	r.RecordWrite(second, true)
-	require.False(t, r.Begin(300+reregistrationSpread, second, false))
+	var latest clock.Millis
+	for seed := range uint64(20) {
+		r := NewRegistration(rand.New(rand.NewPCG(seed, 1)))
+		require.True(t, r.Begin(0, first, false))
+		require.False(t, r.Begin(100, first, false), "a write is in progress")
+		require.False(t, r.Begin(200, second, false), "a write is in progress")
+		r.RecordWrite(first, true)
+		at := clock.Millis(200)
+		for ; !r.Begin(at, second, false); at += 10 {
+			require.Less(t, at, 200+reregistrationSpread)
+		}
+		latest = max(latest, at)
+		r.RecordWrite(second, true)
+		require.False(t, r.Begin(300+reregistrationSpread, second, false))
+	}
+	assert.Greater(t, latest, 200+reregistrationSpread/2)
 }
--- a/core/mirror/restore_test.go
+++ b/core/mirror/restore_test.go
@@ -90,7 +90,7 @@
 				waiting = append(waiting, now)
 			}
 		}
-		busy := slices.ContainsFunc(calls, func(c *delayedCall) bool { return !c.failed && now < c.sentAt+c.call.Overdue() })
+		busy := slices.ContainsFunc(calls, func(c *delayedCall) bool { return !c.failed && now < c.sentAt+c.call.Overdue() && r.Awaits(c.call) })
 		if next := r.Next(now); !busy && next.At() <= now {
 			calls = append(calls, &delayedCall{call: r.Begin(next, now, now), sentAt: now})
 		}
--- a/core/mirror/simulation_test.go
+++ b/core/mirror/simulation_test.go
@@ -141,7 +141,9 @@
 
 // waits reports whether a call in progress delays the next one.
 func (d *simulatedDaemon) waits(now clock.Millis) bool {
-	return slices.ContainsFunc(d.calls, func(c *simulatedCall) bool { return !c.failed && now < c.sentAt+c.call.Overdue() })
+	return slices.ContainsFunc(d.calls, func(c *simulatedCall) bool {
+		return !c.failed && now < c.sentAt+c.call.Overdue() && d.reader.Awaits(c.call)
+	})
 }
 
 func (s *simulation) start(d *simulatedDaemon, call Call, peer int) *simulatedCall {
--- a/entry/gateway/mirror_syncer.go
+++ b/entry/gateway/mirror_syncer.go
@@ -41,6 +41,7 @@
 	sources     atomic.Pointer[[]string]   // peers that may be followed
 	recordedEra atomic.Pointer[mirror.Era] // latest one in records of peers
 	calls       sync.WaitGroup             // calls of the store that are open
+	replied     chan struct{}              // receives after the reply to a call of the store
 
 	mu            sync.Mutex
 	mirror        mirror.Mirror
@@ -58,7 +59,7 @@
 	s := &mirrorSyncer{
 		gateway: g, log: g.log.WithName("store"), store: g.dependencies.Store,
 		random:  deriveGenerator(g.dependencies.Random),
-		changed: make(chan struct{}), callCounts: make(map[string]int64),
+		replied: make(chan struct{}, 1), changed: make(chan struct{}), callCounts: make(map[string]int64),
 	}
 	s.mirror.SetSchema(g.dependencies.Schema)
 	s.reader = mirror.NewReader(g.startedAt, &s.mirror, deriveGenerator(g.dependencies.Random))
@@ -146,9 +147,20 @@
 	s.calls.Go(func() { s.callStore(ctx, call) })
 	overdue := time.NewTimer(call.Overdue().Duration())
 	defer overdue.Stop()
-	select {
-	case <-call.done:
-	case <-overdue.C:
+	for {
+		select {
+		case <-call.done:
+			return
+		case <-overdue.C:
+			return
+		case <-s.replied:
+		}
+		s.mu.Lock()
+		awaited := s.reader.Awaits(call.Call)
+		s.mu.Unlock()
+		if !awaited {
+			return
+		}
 	}
 }
 
@@ -185,6 +197,10 @@
 		s.recordCall(call.Kind().String(), nil)
 	}
 	s.handlePage(call, now, page)
+	select {
+	case s.replied <- struct{}{}:
+	default: // the reader of the store has yet to receive an earlier one
+	}
 }
 
 // recordTimeout records that a call has had no reply by its timeout.
--- a/entry/gateway/mirror_syncer_test.go
+++ b/entry/gateway/mirror_syncer_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -265,14 +266,17 @@
 	assert.Positive(t, calls["watch.late"])
 }
 
-// hungPut is a store whose Put returns once released is closed. It closes called first.
+// hungPut is a store whose Put returns once released is closed.
 type hungPut struct {
 	Store
-	called, released chan struct{}
+	calls    atomic.Int64
+	called   chan struct{} // receives at each call
+	released chan struct{}
 }
 
-func (h hungPut) Put(context.Context, string, []byte) error {
-	close(h.called)
+func (h *hungPut) Put(context.Context, string, []byte) error {
+	h.calls.Add(1)
+	h.called <- struct{}{}
 	<-h.released
 	return nil
 }
@@ -282,7 +286,7 @@
 func TestRegistrationDoesNotDelayReads(t *testing.T) {
 	s := newTestGateway(t).mirrorSyncer
 	s.applyChanges(s.reader.HandlePage(mirror.Call{}, s.now(), []mirror.Item{mirror.NewItem("a", nil, revisionAt(3))}, revisionAt(3), false))
-	store := hungPut{called: make(chan struct{}), released: make(chan struct{})}
+	store := &hungPut{called: make(chan struct{}, 2), released: make(chan struct{})}
 	s.store = store
 	requireEndsSoon(t, "a read waits for the registration", func() { s.register(t.Context()) })
 	<-store.called
@@ -291,6 +295,40 @@
 	s.calls.Wait()
 	s.register(t.Context())
 	s.calls.Wait()
+	assert.Equal(t, int64(1), store.calls.Load())
+}
+
+// lostPage is a store that never answers the first call of a listing, and the second one after
+// a delay.
+type lostPage struct {
+	slowStore
+
+	calls atomic.Int64
+}
+
+func (l *lostPage) List(ctx context.Context, prefix, afterKey string) (Page, error) {
+	if l.calls.Add(1) == 1 {
+		<-ctx.Done()
+		return Page{}, ctx.Err()
+	}
+	return l.slowStore.List(ctx, prefix, afterKey)
+}
+
+// Guards against a daemon that reads the store only after the timeout of a call that is never
+// answered.
+func TestLostPageIsRequestedAgain(t *testing.T) {
+	s := newTestGateway(t).mirrorSyncer
+	s.store = &lostPage{slowStore: slowStore{delay: 10 * time.Millisecond}}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { s.run(ctx) })
+	assert.Eventually(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.mirror.Complete()
+	}, 700*time.Millisecond, 5*time.Millisecond)
+	cancel()
+	requireEndsSoon(t, "a call stays open after the stop", running.Wait)
 }
 
 // Guards against complete copies for each request of a daemon that does not know eras, during an
