upstreams test: three connections are opened at a time after the run, not by its schedule

Cause: the test expects that twelve workers have three connections open at some instant. The pool doesn't promise that: while connections are replaced a permit is in its close grace, and two others may do the work. A permit that was lost would have looked the same.

Change: after the run the test opens three connections at a time, which shows that no permit is lost, and then checks the highest number as before.

--- a/entry/upstreams/pool_test.go
+++ b/entry/upstreams/pool_test.go
@@ -36,8 +36,8 @@
 	return e
 }
 
-// TestLimitIsNotExceeded guards against more connections than the limit while
-// exchanges are cancelled and connections are replaced: the upstream resets the
+// TestLimitIsNotExceeded guards against more connections than the limit, and against
+// permits that are lost, while exchanges are cancelled and connections are replaced: the upstream resets the
 // connections above its own limit. The close grace suits a busy machine.
 func TestLimitIsNotExceeded(t *testing.T) {
 	u := startStandin(t)
@@ -63,6 +63,15 @@
 		})
 	}
 	wait.Wait()
+	// No permit is lost: after their close grace all three serve at a time.
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	for range 3 {
+		c, err := client.pool(upstream.ID(u.Address())).acquire(ctx, requirements{})
+		require.NoError(t, err)
+		defer func() { _ = c.Close() }()
+	}
+	require.Eventually(t, func() bool { return u.Counts().MaxConnections >= 3 }, 5*time.Second, time.Millisecond)
 	require.Equal(t, 3, u.Counts().MaxConnections)
 	require.Zero(t, u.Counts().Refused)
 }
