--- a/core/mirror/reader.go
+++ b/core/mirror/reader.go
@@ -306,7 +306,7 @@
 	switch {
 	case revision.era.Compare(r.mirror.Revision().era) < 0:
 		if r.Awaits(call) {
-			r.openPageCalls = 0
+			r.openPageCalls = 0 // the page is requested anew
 		}
 		return nil
 	case !r.Awaits(call):
@@ -435,8 +435,9 @@
 
 // RecordFailure records the error of a List or Watch, or ErrNoReply at its timeout.
 // ErrCompacted causes a new listing; every other error is a failure of the store, after
-// which calls are delayed exponentially, unless the store has answered a later call. It
-// reports whether this is the first failure since the store last answered.
+// which calls are delayed exponentially, unless the store has answered a later call, or
+// another one for the same page. A listing begins again after an error, unless its page may
+// still come. It reports whether this is the first failure since the store last answered.
 func (r *Reader) RecordFailure(call Call, now clock.Millis, err error) bool {
 	if call.kind == List && r.Awaits(call) {
 		r.openPageCalls = max(0, r.openPageCalls-1)
