mirror, rollout, gateway: comments say what a newcomer needs, without figures

Callers: none; comments and documents only, from the read-through.

Cause: a comment repeated the value of its constant, which comes from one store's documentation; three comments of tests used words that the field doesn't; the key of the address of the store named the users' platform.

Change: reworded.

Result: make check, and the tests of core/mirror, core/rollout and entry/gateway pass.

--- a/core/mirror/restore_test.go
+++ b/core/mirror/restore_test.go
@@ -13,8 +13,8 @@
 	"github.com/lovagegap/lovagegap/core/clock"
 )
 
-// testSchema takes the kind of a key from its first letter, e for ephemeral, r for a
-// restriction, s for conditional. The number at the end of a value, if there is one, is its sequence.
+// testSchema derives the kind of a key from its first character: e is ephemeral, r a restriction,
+// s conditional. The number at the end of a value, if there is one, is its sequence.
 type testSchema struct{}
 
 func (testSchema) Kind(key string) Kind {
@@ -166,7 +166,7 @@
 	const restoredAt = 10 * clock.Second
 	for name, c := range map[string]struct {
 		known, listed string       // "" if the key is missing
-		key           string       // its first letter is the kind
+		key           string       // see testSchema
 		kept          string       // value just after the restore
 		until         clock.Millis // from when on the listed one is in effect
 	}{
@@ -289,8 +289,8 @@
 	assert.Equal(t, []string{"config", "e1"}, changedKeys(r.mirror.Expire(11_200+rewritePeriod)))
 }
 
-// Guards against a data centre that comes back into service, or a replica that has left and is
-// used again, because the store is listed once more while operators write again what it lost.
+// Guards against an evacuation that ends, and a replica that has left and is used again, because
+// the store is listed a second time before operators have repeated the writes that it lost.
 func TestRetentionOutlivesNextListing(t *testing.T) {
 	r := newRestoredReader(valued("config", "v 7", inEra(1, 90)), valued("r1", "out", inEra(1, 92)), valued("e1", "ready 3", inEra(1, 93)))
 	r.HandleEvents(r.Begin(r.Next(1200), 1200, 1200), 1200, []Item{NewRemoval("e1", inEra(1, 101))}, inEra(1, 101))
--- a/core/mirror/silence.go
+++ b/core/mirror/silence.go
@@ -4,8 +4,8 @@
 
 const (
 	// minSilence is the least time without a write of an ephemeral key after which its writer
-	// counts as silent. After a restore of the store live writers write again within about
-	// two seconds of its return, whatever their interval.
+	// counts as silent. After a restore of the store live writers write again at once, whatever
+	// their interval.
 	minSilence             = 3 * clock.Second
 	minSilenceAfterRestore = 2 * clock.Second
 	// silenceFactor of the time within which half of the writers have written bounds their
--- a/core/rollout/restore_test.go
+++ b/core/rollout/restore_test.go
@@ -218,9 +218,9 @@
 	assert.Equal(t, r.Current(), k.document)
 }
 
-// Guards against a change that is accepted on top of an older document that the platform was
-// restored to, and lost when the newer one arrives of which a peer has already told; and
-// against one that waits for the document of a peer that is lost.
+// Guards against a proposal that is accepted on top of the outdated document of a restored
+// platform although a peer has announced a newer one, and is lost with it; and against a
+// proposal that waits for a document whose announcing peer was lost.
 func TestProposalWaitsForNewerDocumentOfPeer(t *testing.T) {
 	old := NewDocument(3, "old", nil)
 	newer := old.successor("second", nil).successor("third", nil)
--- a/entry/gateway/configuration.go
+++ b/entry/gateway/configuration.go
@@ -34,7 +34,7 @@
 	// PeersListen is the address on which the daemon listens for other daemons, if it is
 	// not Peers, as behind a port mapping.
 	PeersListen string   `json:"peersListen"`
-	Store       string   `json:"store"`   // address of the platform's store
+	Store       string   `json:"store"`   // address of the store
 	Metrics     string   `json:"metrics"` // address for metrics as text; none if empty
 	Seeds       []string `json:"seeds"`
 	Key         string   `json:"key"` // shared by the daemons of a deployment
